--- /dev/null
+++ b/anvilmux-daemon/bin/anvilmux.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../../dist/anvilmux.js";
--- /dev/null
+++ b/anvilmux-daemon/src/main.ts
@@ -0,0 +1,5 @@
+/** Entry point of the `anvilmux` command. */
+
+import { runCommandLine } from "./commandLine";
+
+await runCommandLine(process.argv);
--- /dev/null
+++ b/jest.config.mjs
@@ -0,0 +1,14 @@
+/** @type {import("jest").Config} */
+export default {
+    testEnvironment: "node",
+    extensionsToTreatAsEsm: [".ts"],
+    testMatch: ["**/tests/**/*.test.ts", "<rootDir>/scenarios/src/**/*.test.ts"],
+    modulePathIgnorePatterns: ["<rootDir>/dist"],
+    moduleNameMapper: {
+        "^@anvilmux/stand-ins$": "<rootDir>/stand-ins/src/index.ts",
+        "^@anvilmux/(.*)$": "<rootDir>/packages/$1/src/index.ts",
+    },
+    transform: {
+        "^.+\\.ts$": ["@swc/jest", { jsc: { target: "es2022", parser: { syntax: "typescript" } } }],
+    },
+};
--- /dev/null
+++ b/packages/anvilmux/src/ZoneView.ts
@@ -0,0 +1,112 @@
+/** Questions about the deployment that several services ask, answered from membership. */
+
+import { pickByRendezvous, toAddress } from "@anvilmux/common";
+import type { Address, Random } from "@anvilmux/common";
+import type { AnnouncedReplica, ConfigurationPeer } from "@anvilmux/control";
+import type { WorkerOwner } from "@anvilmux/jobs";
+import type { LeaseRegistry, Member, Membership, WorkerAnnouncement } from "@anvilmux/membership";
+import { safeParseJson } from "@anvilmux/membership";
+import type { StewardAddress } from "@anvilmux/routing";
+import { z } from "zod";
+
+/** Prefix of the records in which control instances announce their data folder. */
+export const replicaRecordKey = "replica";
+
+const replicaRecordSchema = z.object({ memberId: z.string(), address: z.string() });
+
+export interface ZoneViewOptions {
+    readonly instanceId: string;
+    readonly zone: string;
+    readonly membership: Membership;
+    readonly workers: LeaseRegistry<WorkerAnnouncement>;
+    readonly random: Random;
+    readonly controlPeers: readonly Address[];
+}
+
+export class ZoneView {
+    constructor(private readonly options: ZoneViewOptions) {}
+
+    /** Entries of a zone that take work: ready ones, or leaving ones when none is ready. */
+    getEntries(zone: string): readonly Member[] {
+        const entries = this.options.membership.getMembers().filter(member =>
+            member.zone === zone && member.entry && member.liveness === "alive"
+        );
+        const ready = entries.filter(member => member.state === "ready");
+        return ready.length > 0 ? ready : entries.filter(member => member.state === "leaving");
+    }
+
+    countEntriesEverywhere(): number {
+        return this.options.membership.getMembers().filter(member => member.entry && member.liveness !== "dead").length;
+    }
+
+    /** The entry that hands out a service's slots in a zone. */
+    getSteward(service: string, zone: string): StewardAddress | undefined {
+        const entries = this.getEntries(zone);
+        const chosen = pickByRendezvous(`${service}@${zone}`, entries.map(member => member.id));
+        const member = entries.find(entry => entry.id === chosen);
+        return member && { instanceId: member.id, address: toAddress(member.peerAddress) };
+    }
+
+    /** Another zone whose steward lately reported free slots, at random. */
+    pickOtherZone(service: string): string | undefined {
+        const zones = new Set(
+            this.options.membership.getMembers()
+                .filter(member => member.zone !== this.options.zone && member.liveness === "alive")
+                .filter(member => (member.freeSlots[service] ?? 0) > 0)
+                .map(member => member.zone),
+        );
+        const list = [...zones];
+        return list[this.options.random.integer(list.length)];
+    }
+
+    /** The zone's workers by owning entry. */
+    getOwners(): readonly WorkerOwner[] {
+        const entries = this.getEntries(this.options.zone);
+        const ids = entries.map(entry => entry.id);
+        const byOwner = new Map<string, WorkerAnnouncement[]>();
+        for (const worker of this.options.workers.getLive()) {
+            const owner = pickByRendezvous(worker.id, ids);
+            if (owner !== undefined) {
+                byOwner.set(owner, [...byOwner.get(owner) ?? [], worker]);
+            }
+        }
+        return entries.map(entry => ({
+            instanceId: entry.id,
+            address: toAddress(entry.peerAddress),
+            workers: byOwner.get(entry.id) ?? [],
+        }));
+    }
+
+    /** Peers that may have a newer configuration. */
+    getConfigurationPeers(): readonly ConfigurationPeer[] {
+        return this.options.membership.getMembers()
+            .filter(member => member.id !== this.options.instanceId && member.liveness === "alive")
+            .map(member => ({
+                address: toAddress(member.peerAddress),
+                configurationIndex: member.configurationIndex,
+            }));
+    }
+
+    /** Peer addresses of control instances. */
+    getControlAddresses(): readonly Address[] {
+        const known = this.options.membership.getMembers()
+            .filter(member => member.control && member.liveness === "alive")
+            .map(member => toAddress(member.peerAddress));
+        return [...new Set([...known, ...this.options.controlPeers])];
+    }
+
+    /** Data folders that live control instances announce. */
+    getAnnouncedReplicas(): readonly AnnouncedReplica[] {
+        return this.options.membership.getRecords(replicaRecordKey).flatMap(record => {
+            const parsed = replicaRecordSchema.safeParse(safeParseJson(record.value));
+            const isAlive = this.options.membership.getMember(record.memberId)?.liveness === "alive";
+            return parsed.success && isAlive
+                ? [{ memberId: parsed.data.memberId, address: toAddress(parsed.data.address) }]
+                : [];
+        });
+    }
+
+    findMember(instanceId: string): Member | undefined {
+        return this.options.membership.getMember(instanceId);
+    }
+}
--- /dev/null
+++ b/packages/anvilmux/src/http/PublicServer.ts
@@ -0,0 +1,125 @@
+/** The listener for callers, upstreams, workers and operators. */
+
+import { toAddress } from "@anvilmux/common";
+import type { Address } from "@anvilmux/common";
+import type { Kernel } from "@anvilmux/kernel";
+import express from "express";
+import type { Express } from "express";
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import { createServer as createSecureServer } from "node:https";
+import type { Server as SecureServer } from "node:https";
+import type { AddressInfo, Socket } from "node:net";
+import { InstanceError } from "../errors";
+import { readSettingFile } from "../services/base";
+import type { Settings } from "../settings";
+import { lifecycleToken, metricsToken } from "../tokens";
+import { registerCallRoutes } from "./callRoutes";
+import { registerJobRoutes } from "./jobRoutes";
+import { registerOperatorRoutes } from "./operatorRoutes";
+import { registerPlatformRoutes } from "./platformRoutes";
+import { newInvalidRequestProblem, newNotFoundProblem, sendAnswer, sendJson, sendProblem } from "./problems";
+
+/** Time a caller may take to send its headers. */
+const headersTimeoutMs = 10_000;
+/** Time a caller may take to send a whole request. */
+const requestTimeoutMs = 60_000;
+const maximumHeaderBytes = 16_384;
+const maximumHeaderCount = 100;
+const keepAliveTimeoutMs = 65_000;
+
+export class PublicServer {
+    private readonly sockets = new Set<Socket>();
+
+    private constructor(private readonly server: Server | SecureServer, readonly address: Address) {
+        server.on("connection", (socket: Socket) => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
+    }
+
+    static async listen(kernel: Kernel, settings: Settings): Promise<PublicServer> {
+        const server = newHttpServer(newApp(kernel), settings);
+        server.headersTimeout = headersTimeoutMs;
+        server.requestTimeout = requestTimeoutMs;
+        server.keepAliveTimeout = keepAliveTimeoutMs;
+        server.maxHeadersCount = maximumHeaderCount;
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", error =>
+                reject(
+                    new InstanceError(
+                        "listen-failed",
+                        `public listener ${settings.host}:${settings["public-port"]}`,
+                        error,
+                    ),
+                ));
+            server.listen(settings["public-port"], settings.host, resolve);
+        });
+        const { port } = server.address() as AddressInfo;
+        return new PublicServer(server, toAddress(`${settings.host}:${port}`));
+    }
+
+    /** Uses renewed certificate files for new connections. */
+    reloadTls(settings: Settings): void {
+        if ("setSecureContext" in this.server) {
+            this.server.setSecureContext(readCertificate(settings));
+        }
+    }
+
+    async close(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.server.closeIdleConnections();
+        this.sockets.forEach(socket => socket.destroy());
+        await closed;
+    }
+}
+
+const readCertificate = (settings: Settings) => ({
+    cert: readSettingFile(settings["tls-certificate"]),
+    key: readSettingFile(settings["tls-key"]),
+});
+
+const newHttpServer = (app: Express, settings: Settings): Server | SecureServer => {
+    const options = { maxHeaderSize: maximumHeaderBytes };
+    return settings["tls-certificate"] === ""
+        ? createServer(options, app)
+        : createSecureServer({ ...options, ...readCertificate(settings) }, app);
+};
+
+const newApp = (kernel: Kernel): Express => {
+    const app = express();
+    app.disable("x-powered-by");
+    app.disable("etag");
+    app.set("query parser", "simple");
+    registerCallRoutes(app, kernel);
+    registerJobRoutes(app, kernel);
+    registerPlatformRoutes(app, kernel);
+    registerOperatorRoutes(app, kernel);
+    registerHealthRoutes(app, kernel);
+    app.use((request, response) => sendProblem(response, newNotFoundProblem(`no route for ${request.method} request`)));
+    app.use(
+        ((error, _request, response, next) => {
+            if (response.headersSent) {
+                next(error);
+                return;
+            }
+            sendProblem(response, newInvalidRequestProblem("the request cannot be read"));
+        }) satisfies express.ErrorRequestHandler,
+    );
+    return app;
+};
+
+const registerHealthRoutes = (app: Express, kernel: Kernel): void => {
+    app.get("/live", (_request, response) => sendJson(response, 200, { live: true }));
+    app.get("/ready", (_request, response) => {
+        const obstacle = kernel.find(lifecycleToken)?.getObstacle() ?? undefined;
+        const isReady = kernel.find(lifecycleToken)?.isReady === true && obstacle === undefined;
+        sendJson(response, isReady ? 200 : 503, { ready: isReady, ...(obstacle ? { reason: obstacle } : {}) });
+    });
+    app.get("/metrics", (_request, response) =>
+        sendAnswer(response, {
+            status: 200,
+            headers: { "content-type": "text/plain; version=0.0.4" },
+            body: Buffer.from(kernel.get(metricsToken).toPrometheusText()),
+        }));
+};
--- /dev/null
+++ b/packages/anvilmux/src/http/callRoutes.ts
@@ -0,0 +1,166 @@
+/** Service calls: `ANY /v1/services/{service}/{kind}/...`. */
+
+import { getSha256, newUniqueText } from "@anvilmux/common";
+import type { Configuration } from "@anvilmux/control";
+import type { Kernel } from "@anvilmux/kernel";
+import type { Caller, WorkKind } from "@anvilmux/manifest";
+import { deadlineHeader, newProblem, newRefusalProblem, toUpstreamHeaders } from "@anvilmux/routing";
+import type { Problem } from "@anvilmux/routing";
+import type { Express, Request } from "express";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { callsToken, clockToken, configurationToken, lifecycleToken, tracingToken } from "../tokens";
+import { authenticateCaller, mayCall } from "./authentication";
+import { BodyError, BodyReader } from "./body";
+import {
+    newForbiddenProblem,
+    newInvalidRequestProblem,
+    newNotReadyProblem,
+    newTooLargeProblem,
+    newUnauthorizedProblem,
+    sendAnswer,
+    sendProblem,
+} from "./problems";
+
+const idempotencyKeyHeader = "idempotency-key";
+const maximumKeyLength = 255;
+
+/** A call that may run. */
+interface AllowedCall {
+    readonly configuration: Configuration;
+    readonly caller: Caller;
+    readonly kind: WorkKind;
+}
+
+type CallRequest = Request<{ service: string; kind: string; }>;
+
+export const registerCallRoutes = (app: Express, kernel: Kernel): void => {
+    const bodies = new BodyReader();
+    app.all(["/v1/services/:service/:kind", "/v1/services/:service/:kind/*rest"], (request, response) => {
+        void serveCall(kernel, bodies, request as unknown as CallRequest, response);
+    });
+};
+
+const serveCall = async (
+    kernel: Kernel,
+    bodies: BodyReader,
+    request: CallRequest,
+    response: ServerResponse,
+): Promise<void> => {
+    const requestId = newUniqueText();
+    const startedAt = kernel.get(clockToken).now();
+    const allowed = checkCall(kernel, request);
+    if ("status" in allowed) {
+        sendProblem(response, allowed, requestId);
+        return;
+    }
+    const body = await readCallBody(bodies, request, allowed.kind.maximumRequestBytes);
+    if ("status" in body) {
+        sendProblem(response, body, requestId);
+        return;
+    }
+    const hop = kernel.get(tracingToken).start("received", request.headers.traceparent as string | undefined, {
+        "anvilmux.request": requestId,
+        "anvilmux.service": request.params.service,
+        "anvilmux.kind": allowed.kind.name,
+    });
+    const caller = new AbortController();
+    response.on("close", () => caller.abort());
+    const answer = await kernel.get(callsToken).handle({
+        requestId,
+        service: request.params.service,
+        kind: allowed.kind,
+        caller: allowed.caller,
+        method: request.method,
+        path: getUpstreamPath(request.originalUrl),
+        headers: toUpstreamHeaders(request.headers),
+        body: body.content.length > 0 ? body.content : undefined,
+        deadline: startedAt + getDeadline(request, allowed.kind),
+        idempotency: getIdempotency(request, allowed, body.content),
+        hop,
+        signal: caller.signal,
+    });
+    bodies.release(body.content);
+    sendAnswer(response, answer);
+    hop.set({ "http.response.status_code": answer.status });
+    hop.end();
+};
+
+/** The caller, work kind and configuration of a request, or the refusal. */
+const checkCall = (kernel: Kernel, request: CallRequest): AllowedCall | Problem => {
+    const configuration = kernel.get(configurationToken).configuration;
+    if (!configuration) {
+        return newNotReadyProblem("no configuration is in force at this instance yet");
+    }
+    const caller = authenticateCaller(request, configuration);
+    if (!caller) {
+        return newUnauthorizedProblem();
+    }
+    const { service, kind: kindName } = request.params;
+    const kind = configuration.kinds.get(`${service}/${kindName}`);
+    if (!kind || !mayCall(caller, service, kind)) {
+        return newForbiddenProblem();
+    }
+    if (!kernel.get(lifecycleToken).isAdmitting) {
+        return newRefusalProblem("shutting-down", 1_000);
+    }
+    return checkHeaders(request, kind) ?? { configuration, caller, kind };
+};
+
+const checkHeaders = (request: CallRequest, kind: WorkKind): Problem | undefined => {
+    const key = request.headers[idempotencyKeyHeader];
+    if (key === undefined && kind.keyRequired) {
+        return newInvalidRequestProblem(`work kind "${kind.name}" needs an Idempotency-Key header`);
+    }
+    if (key !== undefined && (key === "" || key.length > maximumKeyLength)) {
+        return newInvalidRequestProblem(`Idempotency-Key must have 1 to ${maximumKeyLength} characters`);
+    }
+    const deadline = request.headers[deadlineHeader];
+    if (deadline !== undefined && !(Number(deadline) > 0)) {
+        return newInvalidRequestProblem(`${deadlineHeader} "${String(deadline)}" is not a positive number`);
+    }
+    return undefined;
+};
+
+const readCallBody = async (
+    bodies: BodyReader,
+    request: IncomingMessage,
+    limit: number,
+): Promise<{ readonly content: Buffer; } | Problem> => {
+    try {
+        return { content: await bodies.read(request, limit) };
+    }
+    catch (error) {
+        const code = error instanceof BodyError ? error.code : "cut-off";
+        if (code === "too-large") {
+            return newTooLargeProblem(limit);
+        }
+        return code === "busy"
+            ? newRefusalProblem("queue-full", 1_000)
+            : newProblem(400, "cut-off", "Request cut off", "not-run", "the body ended early");
+    }
+};
+
+/** A caller may ask for less time than the work kind allows, never for more. */
+const getDeadline = (request: CallRequest, kind: WorkKind): number => {
+    const asked = request.headers[deadlineHeader];
+    return asked === undefined ? kind.deadlineMs : Math.min(kind.deadlineMs, Number(asked));
+};
+
+/** The part of the path that the upstream sees: everything behind the service name. */
+const getUpstreamPath = (url: string): string => {
+    const start = url.indexOf("/", "/v1/services/".length);
+    return url.slice(start);
+};
+
+const getIdempotency = (request: CallRequest, allowed: AllowedCall, body: Buffer) => {
+    const key = request.headers[idempotencyKeyHeader] as string | undefined;
+    if (key === undefined) {
+        return undefined;
+    }
+    const { caller, configuration } = allowed;
+    return {
+        key: `call/${caller.team}/${request.params.service}/${key}`,
+        digest: getSha256(Buffer.concat([Buffer.from(`${request.method} ${request.originalUrl}\n`), body])),
+        retention: configuration.manifest.claimRetentionMs,
+    };
+};
--- /dev/null
+++ b/packages/anvilmux/src/http/jobRoutes.ts
@@ -0,0 +1,252 @@
+/** Jobs: submit, fetch or wait, cancel. Any entry answers for any job, in one hop. */
+
+import { getErrorMessage, getSha256, toAddress, toJobId } from "@anvilmux/common";
+import type { JobId } from "@anvilmux/common";
+import { getInstanceOfJob, JobError, submissionSchema } from "@anvilmux/jobs";
+import type { JobDocument, Submission } from "@anvilmux/jobs";
+import type { Kernel } from "@anvilmux/kernel";
+import { toFaults } from "@anvilmux/manifest";
+import type { Caller } from "@anvilmux/manifest";
+import { newProblem, newRefusalProblem } from "@anvilmux/routing";
+import type { Problem } from "@anvilmux/routing";
+import type { Express, Request, Response } from "express";
+import type { ServerResponse } from "node:http";
+import {
+    configurationToken,
+    controlClientToken,
+    jobsToken,
+    lifecycleToken,
+    networkToken,
+    settingsToken,
+    zoneViewToken,
+} from "../tokens";
+import { authenticateCaller } from "./authentication";
+import { BodyReader, parseJsonBody } from "./body";
+import {
+    newForbiddenProblem,
+    newInvalidRequestProblem,
+    newNotFoundProblem,
+    newNotReadyProblem,
+    newTooLargeProblem,
+    newUnauthorizedProblem,
+    sendJson,
+    sendProblem,
+} from "./problems";
+
+const maximumSubmissionBytes = 4 * 1_048_576;
+const maximumWaitMs = 60_000;
+
+export const registerJobRoutes = (app: Express, kernel: Kernel): void => {
+    const bodies = new BodyReader();
+    app.post("/v1/jobs", (request, response) => {
+        void submitJob(kernel, bodies, request, response);
+    });
+    app.get("/v1/jobs/:id", (request, response) => {
+        void serveHeldJob(kernel, request, response, false);
+    });
+    app.delete("/v1/jobs/:id", (request, response) => {
+        void serveHeldJob(kernel, request, response, true);
+    });
+};
+
+/** The caller when it may use jobs, or the refusal. */
+const checkCaller = (kernel: Kernel, request: Request): Caller | Problem => {
+    const configuration = kernel.get(configurationToken).configuration;
+    if (!configuration) {
+        return newNotReadyProblem("no configuration is in force at this instance yet");
+    }
+    const caller = authenticateCaller(request, configuration);
+    if (!caller) {
+        return newUnauthorizedProblem();
+    }
+    return caller.jobs ? caller : newForbiddenProblem();
+};
+
+const submitJob = async (kernel: Kernel, bodies: BodyReader, request: Request, response: Response): Promise<void> => {
+    const caller = checkCaller(kernel, request);
+    if ("status" in caller) {
+        sendProblem(response, caller);
+        return;
+    }
+    if (!kernel.get(lifecycleToken).isAdmitting) {
+        sendProblem(response, newRefusalProblem("shutting-down", 1_000));
+        return;
+    }
+    let body: Buffer;
+    try {
+        body = await bodies.read(request, maximumSubmissionBytes);
+    }
+    catch {
+        sendProblem(response, newTooLargeProblem(maximumSubmissionBytes));
+        return;
+    }
+    bodies.release(body);
+    const submission = checkSubmission(kernel, body);
+    if ("status" in submission) {
+        sendProblem(response, submission);
+        return;
+    }
+    await startJob(kernel, request, response, caller, submission, getSha256(body));
+};
+
+const checkSubmission = (kernel: Kernel, body: Buffer): Submission | Problem => {
+    const parsed = submissionSchema.safeParse(parseJsonBody(body));
+    if (!parsed.success) {
+        const faults = toFaults(parsed.error).map(fault => `${fault.pointer || "/"}: ${fault.reason}`);
+        return newInvalidRequestProblem(faults.join("; "));
+    }
+    const { tasks } = parsed.data;
+    const limit = kernel.get(configurationToken).configuration!.manifest.jobs.maximumTasks;
+    if (tasks.length > limit) {
+        return newInvalidRequestProblem(`/tasks: ${tasks.length} tasks, at most ${limit} are allowed`);
+    }
+    if (new Set(tasks.map(task => task.id)).size < tasks.length) {
+        return newInvalidRequestProblem("/tasks: task ids must differ");
+    }
+    return parsed.data;
+};
+
+const startJob = async (
+    kernel: Kernel,
+    request: Request,
+    response: Response,
+    caller: Caller,
+    submission: Submission,
+    digest: string,
+): Promise<void> => {
+    const jobs = kernel.get(jobsToken);
+    const id = jobs.newJobId();
+    const held = await claimSubmission(kernel, caller, submission, digest, id);
+    if (typeof held !== "string") {
+        sendProblem(response, held);
+        return;
+    }
+    if (held !== id) {
+        await serveJob(kernel, response, held, caller.team, getWait(request), false);
+        return;
+    }
+    try {
+        jobs.start(id, caller.team, submission);
+    }
+    catch (error) {
+        await releaseSubmission(kernel, caller, submission, id);
+        sendProblem(response, toJobProblem(error));
+        return;
+    }
+    const document = await jobs.fetch(id, caller.team, getWait(request));
+    sendDocument(response, document!);
+};
+
+const getSubmissionKey = (caller: Caller, submissionId: string): string => `job/${caller.team}/${submissionId}`;
+
+/** The id of the job that this submission is: `id` itself, or that of an earlier arrival. */
+const claimSubmission = async (
+    kernel: Kernel,
+    caller: Caller,
+    submission: Submission,
+    digest: string,
+    id: JobId,
+): Promise<JobId | Problem> => {
+    if (submission.submissionId === undefined) {
+        return id;
+    }
+    const retention = kernel.get(configurationToken).configuration!.manifest.claimRetentionMs;
+    const key = getSubmissionKey(caller, submission.submissionId);
+    try {
+        const claim = await kernel.get(controlClientToken).claim(key, digest, id, retention);
+        return claim.state === "mismatch"
+            ? newProblem(
+                422,
+                "key-reused",
+                "Submission id reused",
+                "not-run",
+                "the id was used with other tasks before",
+            )
+            : toJobId(claim.holder);
+    }
+    catch (error) {
+        void kernel.get(controlClientToken).release(key, id).catch(() => undefined);
+        return newProblem(503, "no-quorum", "Submission cannot be claimed", "not-run", getErrorMessage(error), 1_000);
+    }
+};
+
+const releaseSubmission = async (kernel: Kernel, caller: Caller, submission: Submission, id: JobId): Promise<void> => {
+    if (submission.submissionId !== undefined) {
+        const key = getSubmissionKey(caller, submission.submissionId);
+        await kernel.get(controlClientToken).release(key, id).catch(() => undefined);
+    }
+};
+
+const toJobProblem = (error: unknown): Problem => {
+    const code = error instanceof JobError ? error.code : "internal";
+    const message = getErrorMessage(error);
+    switch (code) {
+        case "never-runnable":
+            return newProblem(422, code, "Job can never run", "not-run", message);
+        case "not-settled":
+            return newProblem(503, code, "Workers not known yet", "not-run", message, 1_000);
+        default:
+            return newProblem(500, "internal", "Internal error", "unknown", message);
+    }
+};
+
+const getWait = (request: Request): number => {
+    const wait = Number(request.query["waitMs"] ?? 0);
+    return wait >= 0 ? Math.min(wait, maximumWaitMs) : 0;
+};
+
+const serveHeldJob = async (kernel: Kernel, request: Request, response: Response, cancel: boolean): Promise<void> => {
+    const caller = checkCaller(kernel, request);
+    if ("status" in caller) {
+        sendProblem(response, caller);
+        return;
+    }
+    await serveJob(kernel, response, toJobId(String(request.params["id"])), caller.team, getWait(request), cancel);
+};
+
+/** Answers for a job held here, or asks the instance that its id names. */
+const serveJob = async (
+    kernel: Kernel,
+    response: ServerResponse,
+    id: JobId,
+    team: string,
+    waitMs: number,
+    cancel: boolean,
+): Promise<void> => {
+    const instanceId = getInstanceOfJob(id);
+    const jobs = kernel.get(jobsToken);
+    try {
+        const document = instanceId === kernel.get(settingsToken)["instance-id"]
+            ? await (cancel ? jobs.cancel(id, team) : jobs.fetch(id, team, waitMs))
+            : await askHolder(kernel, instanceId ?? "", { jobId: id, team, waitMs, cancel });
+        if (document) {
+            sendDocument(response, document);
+        }
+        else {
+            sendProblem(response, newNotFoundProblem(`job "${id}" is not known`));
+        }
+    }
+    catch (error) {
+        const detail = `the instance that holds job "${id}" does not answer: ${getErrorMessage(error)}`;
+        sendProblem(response, newProblem(502, "outcome-unknown", "Outcome unknown", "unknown", detail, 1_000));
+    }
+};
+
+const askHolder = async (
+    kernel: Kernel,
+    instanceId: string,
+    question: { readonly jobId: string; readonly team: string; readonly waitMs: number; readonly cancel: boolean; },
+): Promise<JobDocument | undefined> => {
+    const member = kernel.get(zoneViewToken).findMember(instanceId);
+    if (!member) {
+        return undefined;
+    }
+    const peer = kernel.get(networkToken).peer(toAddress(member.peerAddress));
+    const reply = await peer.heldJob(question, { timeoutMs: question.waitMs + 2_000 });
+    return reply.found ? JSON.parse(reply.document) as JobDocument : undefined;
+};
+
+const sendDocument = (response: ServerResponse, document: JobDocument): void => {
+    response.setHeader("anvilmux-outcome", document.outcome);
+    sendJson(response, document.state === "running" ? 202 : 200, document);
+};
--- /dev/null
+++ b/packages/anvilmux/src/index.ts
@@ -0,0 +1,14 @@
+/**
+ * The library: everything a program needs that embeds anvilmux.
+ *
+ * @example
+ * const { settings } = loadSettings({ "instance-id": "entry-1", zone: "eire-dub" }, process.env);
+ * const instance = new Instance(settings);
+ * await instance.start();
+ */
+export * from "./environment";
+export * from "./errors";
+export * from "./Instance";
+export * from "./settings";
+export type { DeploymentStatus, InstanceStatus, ReplicaStatus } from "./status";
+export * from "./tokens";
--- /dev/null
+++ b/packages/anvilmux/src/services/control.ts
@@ -0,0 +1,122 @@
+/** Services of the control state: the replica of instances with a disk, the client, the configuration in force. */
+
+import { toAddress } from "@anvilmux/common";
+import {
+    ConfigurationHolder,
+    ControlClient,
+    ControlService,
+    ControlState,
+    Replica,
+    ReplicaStorage,
+} from "@anvilmux/control";
+import type { Kernel } from "@anvilmux/kernel";
+import type { Environment } from "../environment";
+import type { Settings } from "../settings";
+import {
+    clockToken,
+    configurationToken,
+    controlClientToken,
+    controlToken,
+    loggerToken,
+    membershipToken,
+    metricsToken,
+    networkToken,
+    peerServerToken,
+    randomToken,
+    timersToken,
+    trustedKeysToken,
+    zoneViewToken,
+} from "../tokens";
+import { replicaRecordKey } from "../ZoneView";
+
+const fetchTimeoutMs = 2_000;
+const consensusTimeoutMs = 400;
+
+export const defineControlServices = (kernel: Kernel, settings: Settings, environment: Environment): void => {
+    kernel
+        .define({
+            token: configurationToken,
+            requires: [zoneViewToken, networkToken, timersToken, loggerToken, trustedKeysToken],
+            start: () => startConfiguration(kernel),
+            stop: holder => holder.stop(),
+        })
+        .define({
+            token: controlClientToken,
+            requires: [zoneViewToken, networkToken, clockToken, timersToken, metricsToken],
+            start: () =>
+                new ControlClient({
+                    getControlAddresses: () => kernel.get(zoneViewToken).getControlAddresses(),
+                    connect: address => kernel.get(networkToken).consensus(address),
+                    clock: kernel.get(clockToken),
+                    timers: kernel.get(timersToken),
+                    onMessage: () =>
+                        kernel.get(metricsToken).count("anvilmux_own_messages_total", { kind: "proposal" }),
+                }),
+        });
+    if (settings["data-folder"] !== "") {
+        kernel.define({
+            token: controlToken,
+            requires: [configurationToken, peerServerToken, membershipToken, randomToken],
+            start: () => startControl(kernel, settings, environment),
+            stop: control => control.stop(),
+        });
+    }
+};
+
+const startConfiguration = (kernel: Kernel): ConfigurationHolder => {
+    const holder = new ConfigurationHolder({
+        trustedKeys: kernel.get(trustedKeysToken),
+        timers: kernel.get(timersToken),
+        logger: kernel.get(loggerToken),
+        getPeers: () => kernel.get(zoneViewToken).getConfigurationPeers(),
+        fetch: (address, knownIndex) =>
+            kernel.get(networkToken).peer(address).fetchConfiguration({ knownIndex }, { timeoutMs: fetchTimeoutMs }),
+    });
+    holder.start();
+    return holder;
+};
+
+const startControl = async (kernel: Kernel, settings: Settings, environment: Environment): Promise<ControlService> => {
+    const files = environment.openFolder(settings["data-folder"]);
+    const storage = await ReplicaStorage.open(files, settings["instance-id"]);
+    const state = new ControlState();
+    const configuration = kernel.get(configurationToken);
+    const network = kernel.get(networkToken);
+    const selfAddress = kernel.get(peerServerToken).address;
+    const putInForce = () => {
+        const accepted = state.manifest;
+        if (accepted) {
+            configuration.put(accepted.index, accepted.envelope);
+        }
+    };
+    const replica = new Replica(storage, state, {
+        connect: member => {
+            const client = network.consensus(toAddress(member.address));
+            const options = { timeoutMs: consensusTimeoutMs };
+            return {
+                requestVote: request => client.requestVote(request, options),
+                appendEntries: request => client.appendEntries(request, options),
+                installSnapshot: chunk => client.installSnapshot(chunk, options),
+            };
+        },
+        clock: kernel.get(clockToken),
+        timers: kernel.get(timersToken),
+        random: kernel.get(randomToken),
+        logger: kernel.get(loggerToken),
+    }, putInForce);
+    putInForce();
+    const control = new ControlService({
+        replica,
+        selfAddress,
+        initialAddresses: settings["control-peers"].length > 0 ? settings["control-peers"] : [selfAddress],
+        connect: address => network.consensus(address),
+        trustedKeys: kernel.get(trustedKeysToken),
+        clock: kernel.get(clockToken),
+        timers: kernel.get(timersToken),
+        logger: kernel.get(loggerToken),
+        getAnnouncedReplicas: () => kernel.get(zoneViewToken).getAnnouncedReplicas(),
+    });
+    kernel.get(membershipToken).publish(replicaRecordKey, { memberId: replica.memberId, address: selfAddress }, false);
+    control.start();
+    return control;
+};
--- /dev/null
+++ b/packages/anvilmux/src/tokens.ts
@@ -0,0 +1,41 @@
+/** Names and types of the services of an instance. */
+
+import type { Clock, Random, Timers } from "@anvilmux/common";
+import type { ConfigurationHolder, ControlClient, ControlService } from "@anvilmux/control";
+import type { JobManager, TaskPool } from "@anvilmux/jobs";
+import { newServiceToken } from "@anvilmux/kernel";
+import type { TrustedKeys } from "@anvilmux/manifest";
+import type { LeaseRegistry, Membership, UpstreamAnnouncement, WorkerAnnouncement } from "@anvilmux/membership";
+import type { CallHandler } from "@anvilmux/routing";
+import type { DecisionLog, Logger, Metrics, Tracing } from "@anvilmux/telemetry";
+import type { PeerNetwork, PeerServer } from "@anvilmux/transport";
+import type { PublicServer } from "./http/PublicServer";
+import type { Lifecycle } from "./Lifecycle";
+import type { Settings } from "./settings";
+import type { SlotDirectory } from "./SlotDirectory";
+import type { ZoneView } from "./ZoneView";
+
+export const settingsToken = newServiceToken<Settings>("settings");
+export const clockToken = newServiceToken<Clock>("clock");
+export const timersToken = newServiceToken<Timers>("timers");
+export const randomToken = newServiceToken<Random>("random");
+export const loggerToken = newServiceToken<Logger>("logger");
+export const metricsToken = newServiceToken<Metrics>("metrics");
+export const tracingToken = newServiceToken<Tracing>("tracing");
+export const decisionsToken = newServiceToken<DecisionLog>("decisions");
+export const trustedKeysToken = newServiceToken<TrustedKeys>("trusted-keys");
+export const networkToken = newServiceToken<PeerNetwork>("network");
+export const peerServerToken = newServiceToken<PeerServer>("peer-server");
+export const membershipToken = newServiceToken<Membership>("membership");
+export const upstreamsToken = newServiceToken<LeaseRegistry<UpstreamAnnouncement>>("upstreams");
+export const workersToken = newServiceToken<LeaseRegistry<WorkerAnnouncement>>("workers");
+export const zoneViewToken = newServiceToken<ZoneView>("zone-view");
+export const controlToken = newServiceToken<ControlService>("control");
+export const controlClientToken = newServiceToken<ControlClient>("control-client");
+export const configurationToken = newServiceToken<ConfigurationHolder>("configuration");
+export const slotsToken = newServiceToken<SlotDirectory>("slots");
+export const callsToken = newServiceToken<CallHandler>("calls");
+export const taskPoolToken = newServiceToken<TaskPool>("task-pool");
+export const jobsToken = newServiceToken<JobManager>("jobs");
+export const lifecycleToken = newServiceToken<Lifecycle>("lifecycle");
+export const publicServerToken = newServiceToken<PublicServer>("public-server");
--- /dev/null
+++ b/packages/common/src/MemoryFiles.ts
@@ -0,0 +1,98 @@
+/** Files in memory that lose what was not synced when `crash` is called, for tests and model checks. */
+
+import type { AppendFile, Files } from "./Files";
+import type { Random } from "./Random";
+
+interface MemoryFile {
+    content: Uint8Array;
+    syncedLength: number;
+}
+
+const concatenate = (left: Uint8Array, right: Uint8Array): Uint8Array => {
+    const result = new Uint8Array(left.length + right.length);
+    result.set(left);
+    result.set(right, left.length);
+    return result;
+};
+
+export class MemoryFiles implements Files {
+    private entries = new Map<string, MemoryFile>();
+    private durableNames = new Map<string, MemoryFile>();
+    /** Grows at each crash; handles of an earlier life fail. */
+    private life = 0;
+    /** Set to make every write fail, as a full disk does. */
+    writeFailure: Error | undefined;
+    /** Set to make `sync` return without making anything durable: a fault put in on purpose. */
+    ignoresSync = false;
+
+    /** Forgets what was not synced; of each file's unsynced tail a random part may have reached the disk. */
+    crash(random: Random): void {
+        this.life += 1;
+        for (const file of this.durableNames.values()) {
+            const unsynced = file.content.length - file.syncedLength;
+            const survived = file.syncedLength + random.integer(unsynced + 1);
+            file.content = file.content.slice(0, survived);
+            file.syncedLength = survived;
+        }
+        this.entries = new Map(this.durableNames);
+    }
+
+    /** Loses everything, as a replaced disk does. */
+    erase(): void {
+        this.life += 1;
+        this.entries = new Map();
+        this.durableNames = new Map();
+    }
+
+    readonly list = async (): Promise<readonly string[]> => [...this.entries.keys()].sort();
+
+    readonly read = async (name: string): Promise<Uint8Array | undefined> => this.entries.get(name)?.content;
+
+    readonly openForAppend = async (name: string, length: number): Promise<AppendFile> => {
+        const life = this.life;
+        const file = this.entries.get(name) ?? { content: new Uint8Array(), syncedLength: 0 };
+        file.content = file.content.slice(0, length);
+        file.syncedLength = Math.min(file.syncedLength, length);
+        this.entries.set(name, file);
+        return {
+            write: async bytes => {
+                this.check(life);
+                file.content = concatenate(file.content, bytes);
+            },
+            sync: async () => {
+                this.check(life);
+                if (!this.ignoresSync) {
+                    file.syncedLength = file.content.length;
+                }
+            },
+            close: async () => undefined,
+        };
+    };
+
+    readonly replace = async (name: string, bytes: Uint8Array): Promise<void> => {
+        this.check(this.life);
+        const file = { content: bytes.slice(), syncedLength: bytes.length };
+        this.entries.set(name, file);
+        if (!this.ignoresSync) {
+            this.durableNames.set(name, file);
+        }
+    };
+
+    readonly remove = async (name: string): Promise<void> => {
+        this.entries.delete(name);
+        this.durableNames.delete(name);
+    };
+
+    readonly syncFolder = async (): Promise<void> => {
+        this.durableNames = new Map(this.entries);
+    };
+
+    private check(life: number): void {
+        if (life !== this.life) {
+            throw new Error("the process that opened this file has crashed");
+        }
+        if (this.writeFailure) {
+            throw this.writeFailure;
+        }
+    }
+}
--- /dev/null
+++ b/packages/common/src/Mutex.ts
@@ -0,0 +1,11 @@
+/** Runs tasks one at a time, in the order in which they were asked for. */
+
+export class Mutex {
+    private tail: Promise<unknown> = Promise.resolve();
+
+    run<T>(task: () => Promise<T>): Promise<T> {
+        const result = this.tail.then(task);
+        this.tail = result.catch(() => undefined);
+        return result;
+    }
+}
--- /dev/null
+++ b/packages/common/src/Timers.ts
@@ -0,0 +1,40 @@
+/** The timer service: parts subscribe to a delay or a period and unsubscribe with the returned function. */
+
+import type { Milliseconds } from "./types";
+
+/** Ends a subscription; calling it twice is harmless. */
+export type Unsubscribe = () => void;
+
+export interface Timers {
+    /** Calls `listener` once after `delay`. */
+    after(delay: Milliseconds, listener: () => void): Unsubscribe;
+    /** Calls `listener` every `period`, first after one period. */
+    every(period: Milliseconds, listener: () => void): Unsubscribe;
+}
+
+export const newSystemTimers = (): Timers => ({
+    after: (delay, listener) => {
+        const handle = setTimeout(listener, delay);
+        return () => clearTimeout(handle);
+    },
+    every: (period, listener) => {
+        const handle = setInterval(listener, period);
+        return () => clearInterval(handle);
+    },
+});
+
+/** Resolves after `delay`, or as soon as `signal` aborts. */
+export const sleep = (timers: Timers, delay: Milliseconds, signal?: AbortSignal): Promise<void> =>
+    new Promise(resolve => {
+        if (signal?.aborted) {
+            resolve();
+            return;
+        }
+        const finish = () => {
+            unsubscribe();
+            signal?.removeEventListener("abort", finish);
+            resolve();
+        };
+        const unsubscribe = timers.after(delay, finish);
+        signal?.addEventListener("abort", finish);
+    });
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,16 @@
+/** Ids, time, randomness, hashing and errors used by every package. */
+export * from "./canonicalJson";
+export * from "./Clock";
+export * from "./Deferred";
+export * from "./errors";
+export * from "./Files";
+export * from "./ids";
+export * from "./MemoryFiles";
+export * from "./Mutex";
+export * from "./Random";
+export * from "./rendezvous";
+export * from "./Signal";
+export * from "./Timers";
+export * from "./types";
+export * from "./uniqueId";
+export * from "./VirtualTime";
--- /dev/null
+++ b/packages/common/src/types.ts
@@ -0,0 +1,34 @@
+/**
+ * Branded identifiers and units shared by all packages.
+ *
+ * A branded id is a string at run time; the brand keeps, for example, a worker id
+ * from being passed where an instance id is wanted.
+ */
+
+declare const brand: unique symbol;
+
+/** A `Base` that only code naming `Name` can produce. */
+export type Branded<Base, Name extends string> = Base & { readonly [brand]: Name; };
+
+export type InstanceId = Branded<string, "InstanceId">;
+export type ZoneId = Branded<string, "ZoneId">;
+export type ServiceName = Branded<string, "ServiceName">;
+export type WorkKindName = Branded<string, "WorkKindName">;
+export type TeamName = Branded<string, "TeamName">;
+export type RequestId = Branded<string, "RequestId">;
+export type JobId = Branded<string, "JobId">;
+export type TaskId = Branded<string, "TaskId">;
+export type UpstreamId = Branded<string, "UpstreamId">;
+export type WorkerId = Branded<string, "WorkerId">;
+export type GrantId = Branded<string, "GrantId">;
+/** Identity of one life of a control replica's data folder. */
+export type MemberId = Branded<string, "MemberId">;
+
+/** A duration or a point on a monotonic clock, in milliseconds. */
+export type Milliseconds = number;
+
+/** A point in time as milliseconds since the Unix epoch. */
+export type WallMilliseconds = number;
+
+/** Host and port of a listener, such as `127.0.0.1:7400`. */
+export type Address = Branded<string, "Address">;
--- /dev/null
+++ b/packages/control/src/ConfigurationHolder.ts
@@ -0,0 +1,155 @@
+/**
+ * The configuration in force at one instance. It comes from the own replica or from any peer that has a newer one;
+ * its index only rises, and its signature is checked again here.
+ */
+
+import { getErrorMessage, getSha256 } from "@anvilmux/common";
+import type { Address, Timers, Unsubscribe } from "@anvilmux/common";
+import { verifyEnvelope } from "@anvilmux/manifest";
+import type { Caller, Manifest, Service, TrustedKeys, WorkKind } from "@anvilmux/manifest";
+import type { FetchConfigurationReply } from "@anvilmux/protocol";
+import { FetchConfigurationReplySchema } from "@anvilmux/protocol";
+import type { Logger } from "@anvilmux/telemetry";
+import { create } from "@bufbuild/protobuf";
+import Emittery from "emittery";
+
+/** A configuration with look-ups made ready. */
+export interface Configuration {
+    readonly index: number;
+    readonly digest: string;
+    readonly manifest: Manifest;
+    readonly envelope: Uint8Array;
+    readonly services: ReadonlyMap<string, Service>;
+    /** By `service/kind`. */
+    readonly kinds: ReadonlyMap<string, WorkKind>;
+    /** By SHA-256 of the token. */
+    readonly callers: ReadonlyMap<string, Caller>;
+}
+
+/** A peer that says which configuration index is in force there. */
+export interface ConfigurationPeer {
+    readonly address: Address;
+    readonly configurationIndex: number;
+}
+
+export interface ConfigurationHolderOptions {
+    readonly trustedKeys: TrustedKeys;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly getPeers: () => readonly ConfigurationPeer[];
+    readonly fetch: (address: Address, knownIndex: bigint) => Promise<FetchConfigurationReply>;
+}
+
+export interface ConfigurationEvents {
+    readonly inForce: { readonly index: number; };
+}
+
+const checkPeriodMs = 200;
+
+export class ConfigurationHolder {
+    readonly events = new Emittery<ConfigurationEvents>();
+    private current: Configuration | undefined;
+    private fetching = false;
+    private unsubscribe: Unsubscribe = () => undefined;
+
+    constructor(private readonly options: ConfigurationHolderOptions) {}
+
+    get configuration(): Configuration | undefined {
+        return this.current;
+    }
+
+    get index(): number {
+        return this.current?.index ?? 0;
+    }
+
+    /** The highest index that any known peer has in force. */
+    get highestKnownIndex(): number {
+        return Math.max(this.index, ...this.options.getPeers().map(peer => peer.configurationIndex));
+    }
+
+    start(): void {
+        this.unsubscribe = this.options.timers.every(checkPeriodMs, () => void this.catchUp());
+    }
+
+    stop(): void {
+        this.unsubscribe();
+    }
+
+    /** Puts a configuration in force if it is newer and properly signed; false otherwise. */
+    put(index: bigint, envelope: Uint8Array): boolean {
+        if (Number(index) <= this.index) {
+            return false;
+        }
+        try {
+            const { manifest, digest } = verifyEnvelope(Buffer.from(envelope).toString(), this.options.trustedKeys);
+            this.current = newConfiguration(Number(index), digest, manifest, envelope);
+        }
+        catch (error) {
+            this.options.logger.error("configuration refused", {
+                index: Number(index),
+                reason: getErrorMessage(error),
+            });
+            return false;
+        }
+        this.options.logger.info("configuration in force", {
+            index: Number(index),
+            version: this.current.manifest.version,
+        });
+        void this.events.emit("inForce", { index: Number(index) });
+        return true;
+    }
+
+    /** Answers a peer that may have an older configuration. */
+    answerFetch(knownIndex: bigint): FetchConfigurationReply {
+        const isNewer = this.current !== undefined && BigInt(this.current.index) > knownIndex;
+        return create(FetchConfigurationReplySchema, {
+            index: BigInt(this.index),
+            envelope: isNewer ? this.current!.envelope : new Uint8Array(),
+        });
+    }
+
+    /** Fetches from the peer with the newest configuration, if any is newer than the own one. */
+    async catchUp(): Promise<void> {
+        const newest = this.options.getPeers().reduce<ConfigurationPeer | undefined>(
+            (best, peer) => peer.configurationIndex > (best?.configurationIndex ?? this.index) ? peer : best,
+            undefined,
+        );
+        if (!newest || this.fetching) {
+            return;
+        }
+        this.fetching = true;
+        try {
+            const reply = await this.options.fetch(newest.address, BigInt(this.index));
+            if (reply.envelope.length > 0) {
+                this.put(reply.index, reply.envelope);
+            }
+        }
+        catch (error) {
+            this.options.logger.debug("configuration not fetched", { reason: getErrorMessage(error) });
+        }
+        finally {
+            this.fetching = false;
+        }
+    }
+}
+
+const newConfiguration = (
+    index: number,
+    digest: string,
+    manifest: Manifest,
+    envelope: Uint8Array,
+): Configuration => ({
+    index,
+    digest,
+    manifest,
+    envelope,
+    services: new Map(manifest.services.map(service => [service.name, service])),
+    kinds: new Map(
+        manifest.services.flatMap(service => service.kinds.map(kind => [`${service.name}/${kind.name}`, kind])),
+    ),
+    callers: new Map(manifest.callers.map(caller => [caller.tokenSha256, caller])),
+});
+
+/** The caller a bearer token belongs to. The look-up is by digest, so its timing tells nothing about the token. */
+export const findCaller = (configuration: Configuration, token: string): Caller | undefined =>
+    configuration.callers.get(getSha256(token));
--- /dev/null
+++ b/packages/control/src/ControlClient.ts
@@ -0,0 +1,177 @@
+/** Proposals from any instance to the control group: finds the leader, follows hints, and shares messages. */
+
+import { getErrorMessage, newDeferred, sleep } from "@anvilmux/common";
+import type { Address, Clock, Deferred, Milliseconds, Timers } from "@anvilmux/common";
+import { toAddress } from "@anvilmux/common";
+import type { Command, CommandResult, MembershipChange, ReadGroupReply } from "@anvilmux/protocol";
+import {
+    ClaimCommandSchema,
+    ClaimState,
+    CommandSchema,
+    ManifestCommandSchema,
+    RecordAnswerCommandSchema,
+    ReleaseClaimCommandSchema,
+} from "@anvilmux/protocol";
+import type { ConsensusClient } from "@anvilmux/transport";
+import { create } from "@bufbuild/protobuf";
+import { proposalTimeoutMs } from "./constants";
+import { ControlError } from "./errors";
+
+export interface ControlClientOptions {
+    /** Addresses of control instances, as settings and membership tell them. */
+    readonly getControlAddresses: () => readonly Address[];
+    readonly connect: (address: Address) => ConsensusClient;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    /** Called for each message sent. */
+    readonly onMessage: () => void;
+}
+
+/** What became of a claim. */
+export interface ClaimResult {
+    readonly state: "granted" | "pending" | "mismatch" | "answered";
+    readonly answer: Uint8Array;
+    /** The attempt that holds the key; empty when keys do not match. */
+    readonly holder: string;
+}
+
+interface Waiting {
+    readonly command: Command;
+    readonly deferred: Deferred<CommandResult>;
+}
+
+const retryPauseMs = 60;
+const callTimeoutMs = 1_500;
+const maximumCommandsPerMessage = 256;
+
+export class ControlClient {
+    private leader: Address | undefined;
+    private waiting: Waiting[] = [];
+    private flushPlanned = false;
+    private nextCandidate = 0;
+
+    constructor(private readonly options: ControlClientOptions) {}
+
+    /** Submits a signed manifest. Sending the same one again is harmless. */
+    async submitManifest(envelope: string): Promise<CommandResult> {
+        const value = create(ManifestCommandSchema, { envelope: Buffer.from(envelope) });
+        return this.commit(create(CommandSchema, { kind: { case: "manifest", value } }));
+    }
+
+    async changeGroup(change: MembershipChange): Promise<CommandResult> {
+        return this.commit(create(CommandSchema, { kind: { case: "change", value: change } }));
+    }
+
+    async claim(key: string, requestDigest: string, holder: string, retentionMs: Milliseconds): Promise<ClaimResult> {
+        const value = create(ClaimCommandSchema, { key, requestDigest, holder, retentionMs });
+        const result = await this.commit(create(CommandSchema, { kind: { case: "claim", value } }));
+        return { state: toClaimState(result.claimState), answer: result.answer, holder: result.detail };
+    }
+
+    async record(key: string, holder: string, answer: Uint8Array): Promise<void> {
+        const value = create(RecordAnswerCommandSchema, { key, holder, answer });
+        await this.commit(create(CommandSchema, { kind: { case: "recordAnswer", value } }));
+    }
+
+    async release(key: string, holder: string): Promise<void> {
+        const value = create(ReleaseClaimCommandSchema, { key, holder });
+        await this.commit(create(CommandSchema, { kind: { case: "releaseClaim", value } }));
+    }
+
+    /** The group's state as its leader confirms it; rejects with `no-quorum` when there is none. */
+    async readGroup(): Promise<ReadGroupReply> {
+        return this.withLeader(async address => {
+            const reply = await this.options.connect(address).readGroup({}, { timeoutMs: callTimeoutMs });
+            return { reply, notLeader: reply.notLeader, leaderHint: reply.leaderHint };
+        });
+    }
+
+    /** Commits one command; all commands of a turn of the event loop travel together. */
+    private commit(command: Command): Promise<CommandResult> {
+        const deferred = newDeferred<CommandResult>();
+        this.waiting.push({ command, deferred });
+        if (!this.flushPlanned) {
+            this.flushPlanned = true;
+            setImmediate(() => this.flush());
+        }
+        return deferred.promise;
+    }
+
+    private flush(): void {
+        this.flushPlanned = false;
+        while (this.waiting.length > 0) {
+            void this.send(this.waiting.splice(0, maximumCommandsPerMessage));
+        }
+    }
+
+    private async send(batch: readonly Waiting[]): Promise<void> {
+        try {
+            const commands = batch.map(item => item.command);
+            const reply = await this.withLeader(async address => {
+                this.options.onMessage();
+                const answer = await this.options.connect(address).propose({ commands }, { timeoutMs: callTimeoutMs });
+                // An unknown outcome is asked for again: every command may be committed twice without harm.
+                const again = answer.notLeader || answer.unknown;
+                return { reply: answer, notLeader: again, leaderHint: answer.leaderHint };
+            });
+            batch.forEach((item, position) => item.deferred.resolve(reply.results[position]!));
+        }
+        catch (error) {
+            batch.forEach(item => item.deferred.reject(error));
+        }
+    }
+
+    /** Calls the leader, looking for it until the time for a proposal is over. */
+    private async withLeader<T>(
+        call: (
+            address: Address,
+        ) => Promise<{ readonly reply: T; readonly notLeader: boolean; readonly leaderHint: string; }>,
+    ): Promise<T> {
+        const deadline = this.options.clock.now() + proposalTimeoutMs;
+        let reason = "no control instance is known";
+        while (this.options.clock.now() < deadline) {
+            const address = this.pickAddress();
+            if (address) {
+                try {
+                    const { reply, notLeader, leaderHint } = await call(address);
+                    if (!notLeader) {
+                        this.leader = address;
+                        return reply;
+                    }
+                    reason = `${address} does not lead`;
+                    this.leader = leaderHint !== "" && leaderHint !== address ? toAddress(leaderHint) : undefined;
+                    if (this.leader) {
+                        continue;
+                    }
+                }
+                catch (error) {
+                    reason = getErrorMessage(error);
+                    this.leader = undefined;
+                }
+            }
+            await sleep(this.options.timers, retryPauseMs);
+        }
+        throw new ControlError("no-quorum", `no leader of the control group answered in time (${reason})`);
+    }
+
+    private pickAddress(): Address | undefined {
+        if (this.leader) {
+            return this.leader;
+        }
+        const addresses = this.options.getControlAddresses();
+        return addresses[this.nextCandidate++ % addresses.length];
+    }
+}
+
+const toClaimState = (state: ClaimState): ClaimResult["state"] => {
+    switch (state) {
+        case ClaimState.GRANTED:
+            return "granted";
+        case ClaimState.ANSWERED:
+            return "answered";
+        case ClaimState.MISMATCH:
+            return "mismatch";
+        default:
+            return "pending";
+    }
+};
--- /dev/null
+++ b/packages/control/src/ControlService.ts
@@ -0,0 +1,271 @@
+/**
+ * A control replica as other instances see it: consensus messages, proposals forwarded to the leader, formation of
+ * the first group and replacement of replicas that lost their disk.
+ */
+
+import { getErrorMessage, sleep, toAddress } from "@anvilmux/common";
+import type { Address, Clock, Timers } from "@anvilmux/common";
+import { verifyEnvelope } from "@anvilmux/manifest";
+import type { TrustedKeys } from "@anvilmux/manifest";
+import type {
+    Command,
+    CommandResult,
+    FormReply,
+    FormRequest,
+    GroupMember,
+    IdentifyReply,
+    ProposeReply,
+    ProposeRequest,
+    ReadGroupReply,
+} from "@anvilmux/protocol";
+import {
+    CommandResultSchema,
+    FormReplySchema,
+    GroupConfigurationSchema,
+    GroupMemberSchema,
+    IdentifyReplySchema,
+    MembershipChangeSchema,
+    ProposeReplySchema,
+    ReadGroupReplySchema,
+} from "@anvilmux/protocol";
+import type { Logger } from "@anvilmux/telemetry";
+import type { ConsensusClient } from "@anvilmux/transport";
+import { create } from "@bufbuild/protobuf";
+import { proposalTimeoutMs } from "./constants";
+import { ControlError } from "./errors";
+import type { Replica } from "./Replica";
+
+/** The data folder an instance announces now. */
+export interface AnnouncedReplica {
+    readonly memberId: string;
+    readonly address: Address;
+}
+
+export interface ControlServiceOptions {
+    readonly replica: Replica;
+    readonly selfAddress: Address;
+    /** Addresses of the control instances of a new deployment, this one included. */
+    readonly initialAddresses: readonly Address[];
+    readonly connect: (address: Address) => ConsensusClient;
+    readonly trustedKeys: TrustedKeys;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    /** Replicas that other instances announce. */
+    readonly getAnnouncedReplicas: () => readonly AnnouncedReplica[];
+}
+
+const formationPeriodMs = 200;
+const repairPeriodMs = 500;
+
+export class ControlService {
+    private stopped = false;
+
+    constructor(private readonly options: ControlServiceOptions) {}
+
+    start(): void {
+        this.options.replica.start();
+        void this.formGroup();
+        void this.repairGroup();
+    }
+
+    async stop(): Promise<void> {
+        this.stopped = true;
+        await this.options.replica.stop();
+    }
+
+    get replica(): Replica {
+        return this.options.replica;
+    }
+
+    identify(): IdentifyReply {
+        const { memberId, isFormed } = this.options.replica;
+        return create(IdentifyReplySchema, { memberId, formed: isFormed });
+    }
+
+    async form(request: FormRequest): Promise<FormReply> {
+        const group = request.group ?? create(GroupConfigurationSchema);
+        return create(FormReplySchema, { accepted: await this.options.replica.form(group) });
+    }
+
+    /** Commits commands if this replica leads. */
+    async propose(request: ProposeRequest): Promise<ProposeReply> {
+        const { replica } = this.options;
+        if (replica.role !== "leader") {
+            return create(ProposeReplySchema, { notLeader: true, leaderHint: this.getLeaderAddress() });
+        }
+        try {
+            const results = await Promise.all(request.commands.map(command => this.proposeOne(command)));
+            return create(ProposeReplySchema, { results });
+        }
+        catch (error) {
+            const isUnknown = error instanceof ControlError && error.code === "outcome-unknown";
+            this.options.logger.debug("proposal failed", { reason: getErrorMessage(error) });
+            return create(ProposeReplySchema, {
+                notLeader: !isUnknown,
+                unknown: isUnknown,
+                leaderHint: this.getLeaderAddress(),
+            });
+        }
+    }
+
+    /** The group's state, after confirming leadership with a majority. */
+    async readGroup(): Promise<ReadGroupReply> {
+        const { replica } = this.options;
+        if (!await replica.confirmLeadership()) {
+            return create(ReadGroupReplySchema, { notLeader: true, leaderHint: this.getLeaderAddress() });
+        }
+        return create(ReadGroupReplySchema, {
+            term: replica.currentTerm,
+            commitIndex: replica.commitIndex,
+            configurationIndex: replica.state.manifest?.index ?? 0n,
+            progress: [...replica.getProgress()],
+        });
+    }
+
+    private getLeaderAddress(): string {
+        const { replica } = this.options;
+        const leader = replica.group.members.find(member => member.memberId === replica.leader);
+        return leader?.address ?? "";
+    }
+
+    private async proposeOne(command: Command): Promise<CommandResult> {
+        const { kind } = command;
+        if (kind.case === "manifest") {
+            try {
+                verifyEnvelope(Buffer.from(kind.value.envelope).toString(), this.options.trustedKeys);
+            }
+            catch (error) {
+                return create(CommandResultSchema, { reason: "invalid-manifest", detail: getErrorMessage(error) });
+            }
+        }
+        if (kind.case === "claim" || kind.case === "recordAnswer") {
+            kind.value.wallMs = this.options.clock.wallNow();
+        }
+        if (kind.case === "change") {
+            return this.changeGroup(command);
+        }
+        return this.withTimeout(this.options.replica.propose([command])[0]!);
+    }
+
+    private async changeGroup(command: Command): Promise<CommandResult> {
+        if (command.kind.case !== "change") {
+            throw new ControlError("wrong-command", "not a change of the group");
+        }
+        try {
+            return await this.withTimeout(this.options.replica.changeGroup(command.kind.value));
+        }
+        catch (error) {
+            if (error instanceof ControlError && error.code !== "outcome-unknown" && error.code !== "not-leader") {
+                return create(CommandResultSchema, { reason: error.code, detail: error.message });
+            }
+            throw error;
+        }
+    }
+
+    private withTimeout<T>(promise: Promise<T>): Promise<T> {
+        return new Promise((resolve, reject) => {
+            const unsubscribe = this.options.timers.after(
+                proposalTimeoutMs,
+                () => reject(new ControlError("outcome-unknown", `not committed within ${proposalTimeoutMs} ms`)),
+            );
+            promise.then(resolve, reject).finally(unsubscribe);
+        });
+    }
+
+    /**
+     * Forms the first group. The instance with the smallest address asks all others; only when every data folder is
+     * fresh does it hand out the configuration, so that a replica that lost its disk never forms a second group.
+     */
+    private async formGroup(): Promise<void> {
+        const { replica, initialAddresses, selfAddress, timers, logger } = this.options;
+        const coordinator = [...initialAddresses].sort()[0];
+        while (!this.stopped && !replica.isFormed && coordinator === selfAddress) {
+            try {
+                if (await this.tryToForm()) {
+                    logger.info("control group formed", { members: initialAddresses.length });
+                    return;
+                }
+            }
+            catch (error) {
+                logger.debug("control group not formed yet", { reason: getErrorMessage(error) });
+            }
+            await sleep(timers, formationPeriodMs);
+        }
+    }
+
+    private async tryToForm(): Promise<boolean> {
+        const { replica, initialAddresses, selfAddress, connect } = this.options;
+        const others = initialAddresses.filter(address => address !== selfAddress);
+        const replies = await Promise.all(others.map(address => connect(address).identify({}, { timeoutMs: 1_000 })));
+        if (replies.some(reply => reply.formed)) {
+            throw new ControlError(
+                "group-exists",
+                "another replica belongs to a group already; this one must be added",
+            );
+        }
+        const members = [
+            create(GroupMemberSchema, { memberId: replica.memberId, address: selfAddress, voter: true }),
+            ...replies.map((reply, position) =>
+                create(GroupMemberSchema, { memberId: reply.memberId, address: others[position]!, voter: true })
+            ),
+        ];
+        const group = create(GroupConfigurationSchema, { members });
+        for (const address of others) {
+            await connect(address).form({ group }, { timeoutMs: 2_000 });
+        }
+        return replica.form(group);
+    }
+
+    /** While leading, replaces voters whose instance announces another data folder than the group knows. */
+    private async repairGroup(): Promise<void> {
+        const { timers, logger, replica } = this.options;
+        while (!this.stopped) {
+            await sleep(timers, repairPeriodMs);
+            if (replica.role !== "leader") {
+                continue;
+            }
+            const change = this.getRepair();
+            if (change) {
+                const result = await replica.changeGroup(change).catch(error => getErrorMessage(error));
+                logger.info("control group repair", {
+                    addLearner: change.addLearner?.memberId,
+                    promote: change.promote,
+                    remove: change.remove,
+                    result: typeof result === "string" ? result : result.reason || "done",
+                });
+            }
+        }
+    }
+
+    /** The next step of a replacement: add the new life as a learner, promote it, remove the old life. */
+    private getRepair() {
+        const { members } = this.options.replica.group;
+        for (const announced of this.options.getAnnouncedReplicas()) {
+            const present = members.find(member => member.memberId === announced.memberId);
+            const former = members.find(member => isOtherLife(member, announced));
+            if (former && !present) {
+                return create(MembershipChangeSchema, {
+                    addLearner: create(GroupMemberSchema, { ...announced, voter: false }),
+                });
+            }
+            if (former && present && !present.voter) {
+                return create(MembershipChangeSchema, { promote: present.memberId });
+            }
+            if (former && present?.voter) {
+                return create(MembershipChangeSchema, { remove: former.memberId });
+            }
+        }
+        return undefined;
+    }
+}
+
+/** The instance part of a member id. */
+export const getInstanceOfMember = (memberId: string): string => memberId.slice(0, memberId.lastIndexOf("~"));
+
+const isOtherLife = (member: GroupMember, announced: AnnouncedReplica): boolean =>
+    member.memberId !== announced.memberId
+    && getInstanceOfMember(member.memberId) === getInstanceOfMember(announced.memberId);
+
+/** Address of a member, for connecting. */
+export const getMemberAddress = (member: GroupMember): Address => toAddress(member.address);
--- /dev/null
+++ b/packages/control/src/ControlState.ts
@@ -0,0 +1,214 @@
+/** The replicated state: the manifest in force with its history, and the claims of idempotency keys. */
+
+import { getErrorMessage, getSha256 } from "@anvilmux/common";
+import { envelopeSchema, parseManifest } from "@anvilmux/manifest";
+import type { Manifest } from "@anvilmux/manifest";
+import type {
+    ClaimCommand,
+    ClaimRecord,
+    Command,
+    CommandResult,
+    ControlSnapshot,
+    ManifestHistoryEntry,
+    RecordAnswerCommand,
+    ReleaseClaimCommand,
+} from "@anvilmux/protocol";
+import {
+    ClaimRecordSchema,
+    ClaimState,
+    CommandResultSchema,
+    ControlSnapshotSchema,
+    ManifestHistoryEntrySchema,
+} from "@anvilmux/protocol";
+import { create } from "@bufbuild/protobuf";
+
+const maximumHistoryEntries = 1_000;
+
+/** The accepted manifest. */
+export interface AcceptedManifest {
+    readonly index: bigint;
+    readonly envelope: Uint8Array;
+    readonly manifest: Manifest;
+    readonly digest: string;
+}
+
+export class ControlState {
+    private accepted: AcceptedManifest | undefined;
+    private history: ManifestHistoryEntry[] = [];
+    /** In order of their claim time, so that expired claims are at the front. */
+    private claims = new Map<string, ClaimRecord>();
+
+    get manifest(): AcceptedManifest | undefined {
+        return this.accepted;
+    }
+
+    getHistory(): readonly ManifestHistoryEntry[] {
+        return this.history;
+    }
+
+    get claimCount(): number {
+        return this.claims.size;
+    }
+
+    getClaim(key: string): ClaimRecord | undefined {
+        return this.claims.get(key);
+    }
+
+    /** Applies one committed command. The result depends on nothing but the commands applied before. */
+    apply(command: Command, index: bigint): CommandResult {
+        switch (command.kind.case) {
+            case "manifest":
+                return this.applyManifest(command.kind.value.envelope, index);
+            case "claim":
+                return this.applyClaim(command.kind.value, index);
+            case "releaseClaim":
+                return this.applyRelease(command.kind.value, index);
+            case "recordAnswer":
+                return this.applyAnswer(command.kind.value, index);
+            case "group":
+            case "noOperation":
+                return newResult(true, index);
+            default:
+                return newResult(false, index, "unknown-command", "this release does not know the command");
+        }
+    }
+
+    /** Everything but the group's configuration and the position in the log. */
+    toSnapshot(): ControlSnapshot {
+        return create(ControlSnapshotSchema, {
+            manifestIndex: this.accepted?.index ?? 0n,
+            manifestEnvelope: this.accepted?.envelope ?? new Uint8Array(),
+            claims: [...this.claims.values()],
+            history: this.history,
+        });
+    }
+
+    restore(snapshot: ControlSnapshot): void {
+        this.claims = new Map(snapshot.claims.map(claim => [claim.key, claim]));
+        this.history = [...snapshot.history];
+        this.accepted = snapshot.manifestIndex > 0n
+            ? toAcceptedManifest(snapshot.manifestEnvelope, snapshot.manifestIndex)
+            : undefined;
+    }
+
+    private applyManifest(envelope: Uint8Array, index: bigint): CommandResult {
+        let candidate: AcceptedManifest;
+        try {
+            candidate = toAcceptedManifest(envelope, index);
+        }
+        catch (error) {
+            return newResult(false, index, "invalid-manifest", getErrorMessage(error));
+        }
+        const refusal = this.getManifestRefusal(candidate);
+        if (refusal) {
+            return refusal;
+        }
+        this.accepted = candidate;
+        this.history.push(create(ManifestHistoryEntrySchema, {
+            index,
+            version: BigInt(candidate.manifest.version),
+            digest: candidate.digest,
+        }));
+        this.history = this.history.slice(-maximumHistoryEntries);
+        return newResult(true, index);
+    }
+
+    /** The result for a candidate that is not newer, or drops a service silently; undefined to accept it. */
+    private getManifestRefusal(candidate: AcceptedManifest): CommandResult | undefined {
+        const current = this.accepted;
+        if (!current) {
+            return undefined;
+        }
+        const { version } = candidate.manifest;
+        const currentVersion = current.manifest.version;
+        if (version === currentVersion && candidate.digest === current.digest) {
+            return newResult(true, current.index);
+        }
+        if (version === currentVersion) {
+            return newResult(false, candidate.index, "conflicting-version", `version ${version} has other content`);
+        }
+        if (version < currentVersion) {
+            return newResult(false, candidate.index, "stale-version", `version ${currentVersion} is in force`);
+        }
+        const dropped = getSilentlyDroppedServices(current.manifest, candidate.manifest);
+        if (dropped.length > 0) {
+            const names = dropped.join(", ");
+            return newResult(false, candidate.index, "dropped-service", `/droppedServices does not name: ${names}`);
+        }
+        return undefined;
+    }
+
+    private applyClaim(command: ClaimCommand, index: bigint): CommandResult {
+        this.expireClaims(command.wallMs);
+        const present = this.claims.get(command.key);
+        if (!present) {
+            this.claims.set(
+                command.key,
+                create(ClaimRecordSchema, {
+                    key: command.key,
+                    requestDigest: command.requestDigest,
+                    holder: command.holder,
+                    expiresWallMs: command.wallMs + command.retentionMs,
+                }),
+            );
+            return newClaimResult(index, ClaimState.GRANTED, command.holder);
+        }
+        if (present.requestDigest !== command.requestDigest) {
+            return newClaimResult(index, ClaimState.MISMATCH);
+        }
+        if (present.answered) {
+            return newClaimResult(index, ClaimState.ANSWERED, present.holder, present.answer);
+        }
+        const isHolder = present.holder === command.holder;
+        return newClaimResult(index, isHolder ? ClaimState.GRANTED : ClaimState.PENDING, present.holder);
+    }
+
+    private applyRelease(command: ReleaseClaimCommand, index: bigint): CommandResult {
+        const present = this.claims.get(command.key);
+        if (present?.holder !== command.holder || present.answered) {
+            return newResult(false, index, "not-holder", "the claim belongs to another request");
+        }
+        this.claims.delete(command.key);
+        return newResult(true, index);
+    }
+
+    private applyAnswer(command: RecordAnswerCommand, index: bigint): CommandResult {
+        const present = this.claims.get(command.key);
+        if (present?.holder !== command.holder) {
+            return newResult(false, index, "not-holder", "the claim belongs to another request");
+        }
+        if (!present.answered) {
+            present.answered = true;
+            present.answer = command.answer;
+        }
+        return newResult(true, index);
+    }
+
+    private expireClaims(wallMs: number): void {
+        for (const [key, claim] of this.claims) {
+            if (claim.expiresWallMs > wallMs) {
+                return;
+            }
+            this.claims.delete(key);
+        }
+    }
+}
+
+const newResult = (accepted: boolean, index: bigint, reason = "", detail = ""): CommandResult =>
+    create(CommandResultSchema, { accepted, index, reason, detail });
+
+/** The result of a claim; `detail` names the holder. */
+const newClaimResult = (index: bigint, claimState: ClaimState, holder = "", answer?: Uint8Array): CommandResult =>
+    create(CommandResultSchema, { accepted: true, index, claimState, detail: holder, ...(answer ? { answer } : {}) });
+
+/** Reads an envelope without checking its signature, which the leader did before proposing it. */
+const toAcceptedManifest = (envelope: Uint8Array, index: bigint): AcceptedManifest => {
+    const { manifest } = envelopeSchema.parse(JSON.parse(Buffer.from(envelope).toString()));
+    return { index, envelope, manifest: parseManifest(manifest), digest: getSha256(manifest) };
+};
+
+/** Services of `current` that `candidate` neither defines nor names as dropped. */
+const getSilentlyDroppedServices = (current: Manifest, candidate: Manifest): readonly string[] => {
+    const kept = new Set([...candidate.services.map(service => service.name), ...candidate.droppedServices]);
+    return current.services.map(service => service.name).filter(name => !kept.has(name));
+};
--- /dev/null
+++ b/packages/control/src/EntryLog.ts
@@ -0,0 +1,261 @@
+/**
+ * The replicated log on disk: segment files of framed batches. A batch that begins at or before the last index
+ * replaces the entries from there on, so that no file is ever cut except for a torn tail.
+ */
+
+import { getErrorMessage } from "@anvilmux/common";
+import type { AppendFile, Files } from "@anvilmux/common";
+import type { LogEntry } from "@anvilmux/protocol";
+import { AppendRequestSchema } from "@anvilmux/protocol";
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { segmentBytes } from "./constants";
+import { StorageError } from "./errors";
+import { decodeFrame, encodeFrame, findFrame } from "./frame";
+
+const segmentPattern = /^log-(\d{8})\.seg$/;
+
+const toSegmentName = (number: number): string => `log-${String(number).padStart(8, "0")}.seg`;
+
+interface Segment {
+    readonly number: number;
+    /** Highest index written to the segment. */
+    lastIndex: bigint;
+    bytes: number;
+}
+
+export class EntryLog {
+    /** Entries after `baseIndex`, in order. */
+    private entries: LogEntry[] = [];
+    private baseIndex = 0n;
+    private baseTerm = 0n;
+    private durableIndex = 0n;
+    /** While reading: entries behind the snapshot belong to a history that the snapshot replaced. */
+    private conflictsWithSnapshot = false;
+    private segments: Segment[] = [];
+    private file: AppendFile | undefined;
+
+    private constructor(private readonly files: Files) {}
+
+    /** Reads the log behind a snapshot that ends at `baseIndex`. Throws `StorageError` for corruption. */
+    static async open(files: Files, baseIndex: bigint, baseTerm: bigint): Promise<EntryLog> {
+        const log = new EntryLog(files);
+        log.baseIndex = baseIndex;
+        log.baseTerm = baseTerm;
+        const names = (await files.list()).filter(name => segmentPattern.test(name));
+        for (const [position, name] of names.entries()) {
+            await log.readSegment(name, position === names.length - 1);
+        }
+        if (log.conflictsWithSnapshot) {
+            await log.reset(baseIndex, baseTerm);
+        }
+        log.durableIndex = log.lastIndex;
+        return log;
+    }
+
+    get firstIndex(): bigint {
+        return this.baseIndex + 1n;
+    }
+
+    get lastIndex(): bigint {
+        return this.baseIndex + BigInt(this.entries.length);
+    }
+
+    /** Last index that is on disk. */
+    get persistedIndex(): bigint {
+        return this.durableIndex;
+    }
+
+    get lastTerm(): bigint {
+        return this.getTerm(this.lastIndex)!;
+    }
+
+    /** Undefined for an index that is not in the log. */
+    getTerm(index: bigint): bigint | undefined {
+        return index === this.baseIndex ? this.baseTerm : this.entries[Number(index - this.baseIndex) - 1]?.term;
+    }
+
+    getEntry(index: bigint): LogEntry | undefined {
+        return this.entries[Number(index - this.baseIndex) - 1];
+    }
+
+    /** Entries from `from` on, limited in number and bytes; at least one when there is one. */
+    getEntries(from: bigint, maximumCount: number, maximumBytes: number): readonly LogEntry[] {
+        const start = Number(from - this.baseIndex) - 1;
+        const result: LogEntry[] = [];
+        let bytes = 0;
+        for (let position = start; position < this.entries.length && result.length < maximumCount; position++) {
+            const entry = this.entries[position]!;
+            bytes += entry.command.length;
+            if (result.length > 0 && bytes > maximumBytes) {
+                break;
+            }
+            result.push(entry);
+        }
+        return result;
+    }
+
+    /** The index to try next when the log does not hold the previous entry; undefined when it does. */
+    findConflict(previousIndex: bigint, previousTerm: bigint): bigint | undefined {
+        if (previousIndex < this.baseIndex) {
+            return undefined;
+        }
+        const present = this.getTerm(previousIndex);
+        if (present === previousTerm) {
+            return undefined;
+        }
+        if (present === undefined) {
+            return this.lastIndex + 1n;
+        }
+        let index = previousIndex;
+        while (index > this.firstIndex && this.getTerm(index - 1n) === present) {
+            index -= 1n;
+        }
+        return index;
+    }
+
+    /** Puts entries in place in memory, replacing any from the first one's index on. */
+    place(added: readonly LogEntry[]): void {
+        if (added.length === 0) {
+            return;
+        }
+        const first = added[0]!.index;
+        this.entries.length = Math.max(0, Number(first - this.baseIndex) - 1);
+        this.entries.push(...added);
+        this.durableIndex = minimum(this.durableIndex, first - 1n);
+    }
+
+    /** Writes and syncs every entry that was placed since the last time. Calls must not overlap. */
+    async persist(): Promise<void> {
+        const added = this.entries.slice(Number(this.durableIndex - this.baseIndex));
+        if (added.length === 0) {
+            return;
+        }
+        const last = added.at(-1)!;
+        const batch = create(AppendRequestSchema, { entries: added });
+        const frame = encodeFrame(toBinary(AppendRequestSchema, batch));
+        const segment = await this.getWritableSegment();
+        try {
+            await this.file!.write(frame);
+            await this.file!.sync();
+        }
+        catch (error) {
+            // The next write reopens the file and cuts off whatever part of the batch was written.
+            await this.closeFile().catch(() => undefined);
+            throw new StorageError("write-failed", `the log cannot be written: ${getErrorMessage(error)}`, error);
+        }
+        segment.bytes += frame.length;
+        segment.lastIndex = maximum(segment.lastIndex, last.index);
+        if (this.getEntry(last.index) === last) {
+            this.durableIndex = last.index;
+        }
+    }
+
+    /** Forgets entries up to `index`, which a durable snapshot holds, and removes segments no longer needed. */
+    async compact(index: bigint): Promise<void> {
+        const term = this.getTerm(index);
+        if (term === undefined || index <= this.baseIndex) {
+            return;
+        }
+        this.entries = this.entries.slice(Number(index - this.baseIndex));
+        this.baseIndex = index;
+        this.baseTerm = term;
+        while (this.segments.length > 1 && this.segments[0]!.lastIndex <= index) {
+            await this.files.remove(toSegmentName(this.segments.shift()!.number));
+        }
+    }
+
+    /** Starts over behind a snapshot received from the leader. */
+    async reset(baseIndex: bigint, baseTerm: bigint): Promise<void> {
+        await this.closeFile();
+        for (const segment of this.segments) {
+            await this.files.remove(toSegmentName(segment.number));
+        }
+        await this.files.syncFolder();
+        const nextNumber = (this.segments.at(-1)?.number ?? 0) + 1;
+        this.segments = [];
+        this.entries = [];
+        this.baseIndex = baseIndex;
+        this.baseTerm = baseTerm;
+        this.durableIndex = baseIndex;
+        this.conflictsWithSnapshot = false;
+        await this.startSegment(nextNumber);
+    }
+
+    async close(): Promise<void> {
+        await this.closeFile();
+    }
+
+    private async getWritableSegment(): Promise<Segment> {
+        const last = this.segments.at(-1);
+        if (!last || last.bytes >= segmentBytes) {
+            await this.closeFile();
+            return this.startSegment((last?.number ?? 0) + 1);
+        }
+        this.file ??= await this.files.openForAppend(toSegmentName(last.number), last.bytes);
+        return last;
+    }
+
+    private async startSegment(number: number): Promise<Segment> {
+        this.file = await this.files.openForAppend(toSegmentName(number), 0);
+        await this.files.syncFolder();
+        const segment = { number, lastIndex: 0n, bytes: 0 };
+        this.segments.push(segment);
+        return segment;
+    }
+
+    private async closeFile(): Promise<void> {
+        await this.file?.close();
+        this.file = undefined;
+    }
+
+    private async readSegment(name: string, isLast: boolean): Promise<void> {
+        const content = await this.files.read(name) ?? new Uint8Array();
+        const segment: Segment = { number: Number(segmentPattern.exec(name)![1]), lastIndex: 0n, bytes: 0 };
+        this.segments.push(segment);
+        for (let frame = decodeFrame(content, 0); frame; frame = decodeFrame(content, segment.bytes)) {
+            const batch = fromBinary(AppendRequestSchema, frame.payload).entries;
+            this.replay(batch, name);
+            segment.bytes = frame.end;
+            segment.lastIndex = batch.reduce((highest, entry) => maximum(highest, entry.index), segment.lastIndex);
+        }
+        if (segment.bytes < content.length) {
+            refuseUnlessTorn(name, content, segment.bytes, isLast);
+        }
+    }
+
+    private replay(batch: readonly LogEntry[], name: string): void {
+        const first = batch[0];
+        if (!first) {
+            return;
+        }
+        if (first.index <= this.baseIndex) {
+            const atBase = batch.find(entry => entry.index === this.baseIndex);
+            this.conflictsWithSnapshot = atBase !== undefined && atBase.term !== this.baseTerm;
+            this.entries = [];
+        }
+        const needed = this.conflictsWithSnapshot ? [] : batch.filter(entry => entry.index > this.baseIndex);
+        if (needed.length > 0 && needed[0]!.index > this.lastIndex + 1n) {
+            throw new StorageError(
+                "log-gap",
+                `${name}: entry ${needed[0]!.index} follows entry ${this.lastIndex}; entries between are missing`,
+            );
+        }
+        this.place(needed);
+    }
+}
+
+/** Only the last batch of the last segment can be incomplete after a crash; anything else was synced once. */
+const refuseUnlessTorn = (name: string, content: Uint8Array, offset: number, isLast: boolean): void => {
+    const later = findFrame(content, offset + 1);
+    if (!isLast || later !== undefined) {
+        throw new StorageError(
+            "corrupt-log",
+            `${name}: the record at byte ${offset} is damaged and is not the end of the log; `
+                + "restore the file or replace this replica",
+        );
+    }
+};
+
+const minimum = (left: bigint, right: bigint): bigint => left < right ? left : right;
+
+const maximum = (left: bigint, right: bigint): bigint => left > right ? left : right;
--- /dev/null
+++ b/packages/control/src/ReplicaLog.ts
@@ -0,0 +1,127 @@
+/** A replica's log together with what follows from it: the group's configuration and the state applied so far. */
+
+import type { Command, CommandResult, ControlSnapshot, GroupConfiguration, LogEntry } from "@anvilmux/protocol";
+import { CommandSchema, ControlSnapshotSchema, GroupConfigurationSchema } from "@anvilmux/protocol";
+import { create, fromBinary } from "@bufbuild/protobuf";
+import { entriesBetweenSnapshots, entriesKeptBehindSnapshot } from "./constants";
+import type { ControlState } from "./ControlState";
+import { ControlError } from "./errors";
+import type { ReplicaStorage } from "./ReplicaStorage";
+
+interface GroupVersion {
+    readonly index: bigint;
+    readonly group: GroupConfiguration;
+}
+
+/** Called for each entry once it is applied. */
+export type AppliedListener = (entry: LogEntry, result: CommandResult) => void;
+
+export class ReplicaLog {
+    private groupVersions: GroupVersion[] = [];
+    private committed: bigint;
+    private applied: bigint;
+
+    constructor(private readonly storage: ReplicaStorage, private readonly state: ControlState) {
+        const { snapshot } = storage;
+        this.applied = snapshot?.lastIndex ?? 0n;
+        this.committed = this.applied;
+        if (snapshot) {
+            state.restore(snapshot);
+            this.noteGroup(snapshot.lastIndex, snapshot.group);
+        }
+        const { log } = storage;
+        for (let index = log.firstIndex; index <= log.lastIndex; index++) {
+            this.noteEntry(log.getEntry(index)!);
+        }
+    }
+
+    get commitIndex(): bigint {
+        return this.committed;
+    }
+
+    get appliedIndex(): bigint {
+        return this.applied;
+    }
+
+    /** The newest configuration in the log, committed or not. */
+    get group(): GroupConfiguration {
+        return this.groupVersions.at(-1)?.group ?? create(GroupConfigurationSchema);
+    }
+
+    /** Index of the entry that holds `group`. */
+    get groupIndex(): bigint {
+        return this.groupVersions.at(-1)?.index ?? 0n;
+    }
+
+    place(entries: readonly LogEntry[]): void {
+        const first = entries[0];
+        if (!first) {
+            return;
+        }
+        if (first.index <= this.committed) {
+            throw new ControlError("committed-entry", `entry ${first.index} is committed and cannot be replaced`);
+        }
+        this.groupVersions = this.groupVersions.filter(version => version.index < first.index);
+        this.storage.log.place(entries);
+        entries.forEach(entry => this.noteEntry(entry));
+    }
+
+    /** Raises the commit index and applies what it covers. */
+    commit(index: bigint, onApplied: AppliedListener): void {
+        if (index <= this.committed) {
+            return;
+        }
+        this.committed = index;
+        while (this.applied < this.committed) {
+            const entry = this.storage.log.getEntry(this.applied + 1n)!;
+            const result = this.state.apply(decodeCommand(entry), entry.index);
+            this.applied = entry.index;
+            onApplied(entry, result);
+        }
+    }
+
+    /** True when enough was applied since the last snapshot. */
+    needsSnapshot(): boolean {
+        return this.applied - (this.storage.snapshot?.lastIndex ?? 0n) >= BigInt(entriesBetweenSnapshots);
+    }
+
+    /** Saves a snapshot of the applied state and drops the entries it covers but for the last few. */
+    async takeSnapshot(keptEntries = entriesKeptBehindSnapshot): Promise<void> {
+        const lastIndex = this.applied;
+        const covered = this.groupVersions.filter(version => version.index <= lastIndex);
+        const snapshot = create(ControlSnapshotSchema, {
+            ...this.state.toSnapshot(),
+            lastIndex,
+            lastTerm: this.storage.log.getTerm(lastIndex)!,
+            group: covered.at(-1)?.group,
+        });
+        await this.storage.saveSnapshot(snapshot);
+        await this.storage.log.compact(lastIndex - BigInt(keptEntries));
+    }
+
+    /** Replaces everything by a snapshot from the leader. */
+    async install(snapshot: ControlSnapshot): Promise<void> {
+        await this.storage.saveSnapshot(snapshot);
+        await this.storage.log.reset(snapshot.lastIndex, snapshot.lastTerm);
+        this.state.restore(snapshot);
+        this.applied = snapshot.lastIndex;
+        this.committed = snapshot.lastIndex;
+        this.groupVersions = [];
+        this.noteGroup(snapshot.lastIndex, snapshot.group);
+    }
+
+    private noteEntry(entry: LogEntry): void {
+        const command = decodeCommand(entry);
+        if (command.kind.case === "group") {
+            this.noteGroup(entry.index, command.kind.value);
+        }
+    }
+
+    private noteGroup(index: bigint, group: GroupConfiguration | undefined): void {
+        if (group) {
+            this.groupVersions.push({ index, group });
+        }
+    }
+}
+
+const decodeCommand = (entry: LogEntry): Command => fromBinary(CommandSchema, entry.command);
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,11 @@
+/** Durable control state: storage, agreement, manifests and claims. */
+export * from "./ConfigurationHolder";
+export * from "./constants";
+export * from "./ControlClient";
+export * from "./ControlService";
+export * from "./ControlState";
+export * from "./errors";
+export * from "./group";
+export * from "./Replica";
+export * from "./ReplicaStorage";
+export * from "./types";
--- /dev/null
+++ b/packages/jobs/src/JobManager.ts
@@ -0,0 +1,304 @@
+/**
+ * Jobs held by this instance: checked, claimed once, split over the owners of the zone's workers, assembled whole,
+ * kept for a while. A job is complete only when every task was answered; otherwise it is marked failed.
+ */
+
+import { getErrorMessage, newDeferred, newUniqueText, toJobId } from "@anvilmux/common";
+import type { Address, Clock, Deferred, JobId, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
+import type { Manifest } from "@anvilmux/manifest";
+import type { WorkerAnnouncement } from "@anvilmux/membership";
+import type { RunTasksRequest, TaskReport } from "@anvilmux/protocol";
+import { RunTasksRequestSchema, TaskDescriptionSchema } from "@anvilmux/protocol";
+import type { DecisionLog, Logger, Metrics } from "@anvilmux/telemetry";
+import type { PeerClient } from "@anvilmux/transport";
+import { create } from "@bufbuild/protobuf";
+import { finishedJobRetentionMs, maximumFinishedJobs } from "./constants";
+import { checkRunnable } from "./runnable";
+import { fromTaskReport, newLostEnd } from "./taskMessages";
+import type { TaskPool } from "./TaskPool";
+import type { JobDocument, JobState, Submission, TaskEnd, TaskSpecification } from "./types";
+
+/** The entry that owns some of the zone's workers. */
+export interface WorkerOwner {
+    readonly instanceId: string;
+    readonly address: Address;
+    readonly workers: readonly WorkerAnnouncement[];
+}
+
+export interface JobManagerOptions {
+    readonly instanceId: string;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly decisions: DecisionLog;
+    readonly pool: TaskPool;
+    readonly getManifest: () => Manifest | undefined;
+    readonly getOwners: () => readonly WorkerOwner[];
+    readonly connect: (address: Address) => PeerClient;
+    readonly isSettled: () => boolean;
+}
+
+interface HeldJob {
+    readonly id: JobId;
+    readonly team: string;
+    readonly submission: Submission;
+    readonly ends: Map<string, TaskEnd>;
+    readonly finished: Deferred<void>;
+    readonly owners: Set<Address>;
+    state: JobState;
+    finishedAt: Milliseconds;
+    cancelled: boolean;
+}
+
+const cleanUpPeriodMs = 1_000;
+
+export class JobManager {
+    private readonly jobs = new Map<JobId, HeldJob>();
+    private readonly unsubscribe: Unsubscribe;
+
+    constructor(private readonly options: JobManagerOptions) {
+        this.unsubscribe = options.timers.every(cleanUpPeriodMs, () => this.forgetOldJobs());
+    }
+
+    get runningJobs(): number {
+        return [...this.jobs.values()].filter(job => job.state === "running").length;
+    }
+
+    /** A new id that names the instance holding the job. */
+    newJobId(): JobId {
+        return toJobId(`${this.options.instanceId}.${newUniqueText()}`);
+    }
+
+    /** Starts a job whose submission was checked and claimed. Throws `JobError` when it can never run. */
+    start(id: JobId, team: string, submission: Submission): void {
+        const manifest = this.options.getManifest();
+        const owners = this.options.getOwners().filter(owner => owner.workers.length > 0);
+        checkRunnable(submission, team, manifest, owners, this.options.isSettled());
+        const job: HeldJob = {
+            id,
+            team,
+            submission,
+            ends: new Map(),
+            finished: newDeferred<void>(),
+            owners: new Set(owners.map(owner => owner.address)),
+            state: "running",
+            finishedAt: 0,
+            cancelled: false,
+        };
+        this.jobs.set(id, job);
+        this.options.metrics.count("anvilmux_jobs_total");
+        const remaining = submission.deadlineMs ?? manifest?.jobs.deadlineMs ?? 60_000;
+        for (const [owner, tasks] of splitTasks(submission.tasks, owners)) {
+            this.options.decisions.add(id, `${tasks.length} tasks go to ${owner.instanceId}`);
+            void this.runAt(job, owner, tasks, remaining);
+        }
+    }
+
+    /** The job as callers see it, waiting up to `wait` for its end; undefined when it is not held here. */
+    async fetch(id: JobId, team: string, wait: Milliseconds): Promise<JobDocument | undefined> {
+        const job = this.jobs.get(id);
+        if (!job || job.team !== team) {
+            return undefined;
+        }
+        if (job.state === "running" && wait > 0) {
+            const timeout = newDeferred<void>();
+            const unsubscribe = this.options.timers.after(wait, () => timeout.resolve());
+            await Promise.race([job.finished.promise, timeout.promise]);
+            unsubscribe();
+        }
+        return toDocument(job);
+    }
+
+    /** Cancels a job; after this nothing of it starts any more. */
+    async cancel(id: JobId, team: string): Promise<JobDocument | undefined> {
+        const job = this.jobs.get(id);
+        if (!job || job.team !== team) {
+            return undefined;
+        }
+        if (job.state === "running" && !job.cancelled) {
+            job.cancelled = true;
+            this.options.decisions.add(id, "cancelled");
+            await Promise.all([...job.owners].map(address => this.cancelAt(job, address)));
+        }
+        return toDocument(job);
+    }
+
+    stop(): void {
+        this.unsubscribe();
+    }
+
+    private async cancelAt(job: HeldJob, address: Address): Promise<void> {
+        const owner = this.options.getOwners().find(candidate => candidate.address === address);
+        if (owner?.instanceId === this.options.instanceId) {
+            this.options.pool.cancelJob(job.id);
+            return;
+        }
+        try {
+            await this.options.connect(address).cancelTasks({ jobId: job.id }, { timeoutMs: 1_000 });
+        }
+        catch (error) {
+            this.options.logger.warn("cancel not delivered", {
+                jobId: job.id,
+                address,
+                reason: getErrorMessage(error),
+            });
+        }
+    }
+
+    /** Has tasks run by an owner and notes how each ended. */
+    private async runAt(
+        job: HeldJob,
+        owner: WorkerOwner,
+        tasks: readonly TaskSpecification[],
+        remaining: Milliseconds,
+    ): Promise<void> {
+        if (owner.instanceId === this.options.instanceId) {
+            const now = this.options.clock.now();
+            tasks.forEach(specification =>
+                this.options.pool.submit({
+                    jobId: job.id,
+                    team: job.team,
+                    urgent: job.submission.urgent,
+                    specification,
+                    enqueuedAt: now,
+                    deadline: now + remaining,
+                    report: end => this.noteEnd(job, end),
+                })
+            );
+            this.options.pool.serve();
+            return;
+        }
+        let reason = "the owner's answer ended early";
+        try {
+            const request = newRunTasksRequest(job, tasks, remaining);
+            for await (const report of this.options.connect(owner.address).runTasks(request)) {
+                this.noteReport(job, report);
+            }
+        }
+        catch (error) {
+            reason = `owner ${owner.instanceId}: ${getErrorMessage(error)}`;
+        }
+        tasks.forEach(task => this.noteEnd(job, newLostEnd(task.id, reason)));
+    }
+
+    private noteReport(job: HeldJob, report: TaskReport): void {
+        this.noteEnd(job, fromTaskReport(report));
+    }
+
+    /** Notes the first word on a task; later ones are ignored. */
+    private noteEnd(job: HeldJob, end: TaskEnd): void {
+        if (job.ends.has(end.taskId) || !job.submission.tasks.some(task => task.id === end.taskId)) {
+            return;
+        }
+        job.ends.set(end.taskId, end);
+        if (end.outcome !== "answered") {
+            this.options.decisions.add(job.id, `task ${end.taskId}: ${end.outcome}, ${end.reason}`);
+        }
+        if (job.ends.size < job.submission.tasks.length) {
+            return;
+        }
+        const isComplete = !job.cancelled && [...job.ends.values()].every(item => item.outcome === "answered");
+        job.state = isComplete ? "complete" : "failed";
+        job.finishedAt = this.options.clock.now();
+        this.options.metrics.count("anvilmux_jobs_finished_total", { state: job.state });
+        this.options.decisions.add(job.id, `job ${job.state}`);
+        job.finished.resolve();
+    }
+
+    private forgetOldJobs(): void {
+        const now = this.options.clock.now();
+        const finished = [...this.jobs.values()].filter(job => job.state !== "running");
+        finished.sort((left, right) => left.finishedAt - right.finishedAt);
+        const surplus = Math.max(0, finished.length - maximumFinishedJobs);
+        finished.forEach((job, position) => {
+            if (position < surplus || now - job.finishedAt > finishedJobRetentionMs) {
+                this.jobs.delete(job.id);
+            }
+        });
+    }
+}
+
+/** The instance that holds a job; undefined for a malformed id. */
+export const getInstanceOfJob = (id: string): string | undefined => {
+    const end = id.lastIndexOf(".");
+    return end > 0 ? id.slice(0, end) : undefined;
+};
+
+/** Shares tasks out in proportion to the owners' processors, only to owners with a worker that fits. */
+export const splitTasks = (
+    tasks: readonly TaskSpecification[],
+    owners: readonly WorkerOwner[],
+): ReadonlyMap<WorkerOwner, readonly TaskSpecification[]> => {
+    const shares = owners.map(owner => ({
+        owner,
+        processors: owner.workers.reduce((sum, worker) => sum + worker.processors, 0),
+        given: 0,
+        tasks: [] as TaskSpecification[],
+    }));
+    for (const task of tasks) {
+        const fitting = shares.filter(share => share.owner.workers.some(worker => canRun(worker, task)));
+        const next = fitting.reduce((best, share) =>
+            share.given / share.processors < best.given / best.processors ? share : best
+        );
+        next.given += task.processors;
+        next.tasks.push(task);
+    }
+    return new Map(shares.filter(share => share.tasks.length > 0).map(share => [share.owner, share.tasks]));
+};
+
+/** True when the worker could run the task if it were idle. */
+export const canRun = (worker: WorkerAnnouncement, task: TaskSpecification): boolean =>
+    worker.processors >= task.processors
+    && worker.memoryMebibytes >= task.memoryMebibytes
+    && worker.accelerators >= task.accelerators;
+
+const newRunTasksRequest = (
+    job: HeldJob,
+    tasks: readonly TaskSpecification[],
+    remainingMs: Milliseconds,
+): RunTasksRequest =>
+    create(RunTasksRequestSchema, {
+        jobId: job.id,
+        team: job.team,
+        urgent: job.submission.urgent,
+        remainingMs,
+        tasks: tasks.map(task =>
+            create(TaskDescriptionSchema, {
+                taskId: task.id,
+                kind: task.kind,
+                processors: task.processors,
+                memoryMebibytes: task.memoryMebibytes,
+                accelerators: task.accelerators,
+                declaredRunMs: task.declaredRunMs,
+                payload: task.payload,
+            })
+        ),
+    });
+
+const toDocument = (job: HeldJob): JobDocument => ({
+    jobId: job.id,
+    state: job.state,
+    outcome: getJobOutcome(job),
+    finishedTasks: job.ends.size,
+    totalTasks: job.submission.tasks.length,
+    ...(job.state === "complete"
+        ? { results: Object.fromEntries([...job.ends].map(([id, end]) => [id, end.result])) }
+        : {}),
+    tasks: job.submission.tasks.map(task => {
+        const end = job.ends.get(task.id);
+        return { id: task.id, outcome: end?.outcome ?? "pending", reason: end?.reason ?? "" };
+    }),
+});
+
+/** "not-run" only when no task of a failed job ran. */
+const getJobOutcome = (job: HeldJob): JobDocument["outcome"] => {
+    switch (job.state) {
+        case "running":
+            return "pending";
+        case "complete":
+            return "answered";
+        case "failed":
+            return [...job.ends.values()].every(end => end.outcome === "not-run") ? "not-run" : "unknown";
+    }
+};
--- /dev/null
+++ b/packages/jobs/src/errors.ts
@@ -0,0 +1,5 @@
+/** Errors of the job path. */
+
+import { AnvilmuxError } from "@anvilmux/common";
+
+export class JobError extends AnvilmuxError {}
--- /dev/null
+++ b/packages/jobs/src/runnable.ts
@@ -0,0 +1,30 @@
+/** Finds out, before a job is taken, whether it could ever run. */
+
+import type { Manifest } from "@anvilmux/manifest";
+import { JobError } from "./errors";
+import { canRun } from "./JobManager";
+import type { WorkerOwner } from "./JobManager";
+import type { Submission } from "./types";
+
+/** Throws `JobError` with code `never-runnable`, or `not-settled` while too little is known to tell. */
+export const checkRunnable = (
+    submission: Submission,
+    team: string,
+    manifest: Manifest | undefined,
+    owners: readonly WorkerOwner[],
+    isSettled: boolean,
+): void => {
+    const workers = owners.flatMap(owner => owner.workers);
+    const quota = manifest?.teams.find(candidate => candidate.name === team);
+    submission.tasks.forEach((task, position) => {
+        if (
+            task.processors > (quota?.processors ?? Infinity) || task.accelerators > (quota?.accelerators ?? Infinity)
+        ) {
+            throw new JobError("never-runnable", `/tasks/${position}: needs more than the quota of team "${team}"`);
+        }
+        if (!workers.some(worker => canRun(worker, task))) {
+            const reason = `/tasks/${position}: no worker of this zone has the processors, memory and accelerators`;
+            throw new JobError(isSettled ? "never-runnable" : "not-settled", reason);
+        }
+    });
+};
--- /dev/null
+++ b/packages/kernel/src/errors.ts
@@ -0,0 +1,5 @@
+/** Errors of the kernel. */
+
+import { AnvilmuxError } from "@anvilmux/common";
+
+export class KernelError extends AnvilmuxError {}
--- /dev/null
+++ b/packages/manifest/src/errors.ts
@@ -0,0 +1,19 @@
+/** Errors of the manifest: faults carry JSON pointers to the offending fields. */
+
+import { AnvilmuxError } from "@anvilmux/common";
+
+/** One fault in a manifest. */
+export interface ManifestFault {
+    /** RFC 6901 pointer to the field. */
+    readonly pointer: string;
+    readonly reason: string;
+}
+
+export class ManifestError extends AnvilmuxError {
+    readonly faults: readonly ManifestFault[];
+
+    constructor(code: string, faults: readonly ManifestFault[], cause?: unknown) {
+        super(code, faults.map(fault => `${fault.pointer || "/"}: ${fault.reason}`).join("; "), cause);
+        this.faults = faults;
+    }
+}
--- /dev/null
+++ b/packages/manifest/src/index.ts
@@ -0,0 +1,6 @@
+/** The manifest: the generated, signed release document that operators' pipelines hand over. */
+export * from "./constants";
+export * from "./errors";
+export * from "./parseManifest";
+export * from "./schema";
+export * from "./signature";
--- /dev/null
+++ b/packages/membership/src/MemberTable.ts
@@ -0,0 +1,191 @@
+/**
+ * The replicated table behind membership: each instance writes only its own records, each with a growing
+ * version; others copy what they lack. Liveness comes from heartbeats, timed on this instance's own clock.
+ */
+
+import type { Clock, Milliseconds } from "@anvilmux/common";
+import type { MemberDigest, MemberRecord, MemberState } from "@anvilmux/protocol";
+import { MemberDigestSchema, MemberRecordSchema, MemberStateSchema } from "@anvilmux/protocol";
+import { create } from "@bufbuild/protobuf";
+import { deadAfterMs, forgetAfterMs, suspectAfterMs } from "./constants";
+import type { Liveness } from "./types";
+
+interface Row {
+    incarnation: bigint;
+    heartbeat: bigint;
+    heardAt: Milliseconds;
+    readonly records: Map<string, MemberRecord>;
+}
+
+/** Called after records of a member changed. */
+export type TableListener = (memberId: string, changed: readonly MemberRecord[]) => void;
+
+export class MemberTable {
+    private readonly rows = new Map<string, Row>();
+    private nextVersion = 1n;
+
+    constructor(
+        readonly selfId: string,
+        incarnation: number,
+        private readonly clock: Clock,
+        private readonly onChange: TableListener,
+    ) {
+        this.rows.set(selfId, newRow(BigInt(incarnation), clock.now()));
+    }
+
+    /** Writes one of this instance's own records; `undefined` removes it. */
+    write(key: string, value: string | undefined, zoneScoped: boolean): void {
+        const record = create(MemberRecordSchema, {
+            key,
+            value: value ?? "",
+            tombstone: value === undefined,
+            version: this.nextVersion++,
+            zoneScoped,
+        });
+        this.self.records.set(key, record);
+        this.onChange(this.selfId, [record]);
+    }
+
+    /** Shows the other members that this instance still runs. */
+    beat(): void {
+        this.self.heartbeat += 1n;
+        this.self.heardAt = this.clock.now();
+    }
+
+    getMemberIds(): readonly string[] {
+        return [...this.rows.keys()];
+    }
+
+    getRecord(memberId: string, key: string): string | undefined {
+        const record = this.rows.get(memberId)?.records.get(key);
+        return record && !record.tombstone ? record.value : undefined;
+    }
+
+    /** A member's live records whose key starts with `prefix`. */
+    getRecords(memberId: string, prefix: string): readonly MemberRecord[] {
+        const records = this.rows.get(memberId)?.records.values() ?? [];
+        return [...records].filter(record => !record.tombstone && record.key.startsWith(prefix));
+    }
+
+    getIncarnation(memberId: string): number {
+        return Number(this.rows.get(memberId)?.incarnation ?? 0n);
+    }
+
+    /** Time since the member was last known to run. */
+    getSilence(memberId: string): Milliseconds {
+        const row = this.rows.get(memberId);
+        return row && memberId !== this.selfId ? this.clock.now() - row.heardAt : row ? 0 : Infinity;
+    }
+
+    getLiveness(memberId: string): Liveness {
+        const silence = this.getSilence(memberId);
+        if (silence < suspectAfterMs) {
+            return "alive";
+        }
+        return silence < deadAfterMs ? "suspect" : "dead";
+    }
+
+    /** Drops members that have been silent for very long. */
+    forgetSilent(): void {
+        for (const memberId of this.getMemberIds()) {
+            if (this.getSilence(memberId) > forgetAfterMs) {
+                this.rows.delete(memberId);
+            }
+        }
+    }
+
+    getDigest(memberId: string, acrossZones: boolean): MemberDigest {
+        const row = this.rows.get(memberId);
+        return create(MemberDigestSchema, {
+            instanceId: memberId,
+            incarnation: row?.incarnation ?? 0n,
+            heartbeat: row?.heartbeat ?? 0n,
+            version: row ? getVersion(row, acrossZones) : 0n,
+        });
+    }
+
+    /** Takes over liveness from a digest; true when the digest's owner knows more than this table. */
+    noteDigest(digest: MemberDigest, acrossZones: boolean): boolean {
+        const row = this.rows.get(digest.instanceId);
+        if (!row || digest.incarnation > row.incarnation) {
+            return digest.instanceId !== this.selfId;
+        }
+        if (digest.incarnation < row.incarnation) {
+            return false;
+        }
+        this.noteHeartbeat(digest.instanceId, row, digest.heartbeat);
+        return digest.version > getVersion(row, acrossZones);
+    }
+
+    /** The records that the owner of `digest` lacks; undefined when it lacks none. */
+    getStateBeyond(digest: MemberDigest, acrossZones: boolean): MemberState | undefined {
+        const row = this.rows.get(digest.instanceId);
+        if (!row || row.incarnation < digest.incarnation) {
+            return undefined;
+        }
+        const known = row.incarnation > digest.incarnation ? 0n : digest.version;
+        const records = [...row.records.values()].filter(record =>
+            record.version > known && !(acrossZones && record.zoneScoped)
+        );
+        if (records.length === 0) {
+            return undefined;
+        }
+        records.sort((left, right) => Number(left.version - right.version));
+        return create(MemberStateSchema, {
+            instanceId: digest.instanceId,
+            incarnation: row.incarnation,
+            heartbeat: row.heartbeat,
+            records,
+        });
+    }
+
+    /** Takes over records from another instance. Records of this instance itself are ignored. */
+    merge(state: MemberState): void {
+        if (state.instanceId === this.selfId || state.instanceId === "") {
+            return;
+        }
+        let row = this.rows.get(state.instanceId);
+        if (row && state.incarnation < row.incarnation) {
+            return;
+        }
+        if (!row || state.incarnation > row.incarnation) {
+            row = newRow(state.incarnation, this.clock.now());
+            this.rows.set(state.instanceId, row);
+        }
+        this.noteHeartbeat(state.instanceId, row, state.heartbeat);
+        const changed = state.records.filter(record => record.version > (row.records.get(record.key)?.version ?? 0n));
+        changed.forEach(record => row.records.set(record.key, record));
+        if (changed.length > 0) {
+            this.onChange(state.instanceId, changed);
+        }
+    }
+
+    private get self(): Row {
+        return this.rows.get(this.selfId)!;
+    }
+
+    private noteHeartbeat(memberId: string, row: Row, heartbeat: bigint): void {
+        if (memberId !== this.selfId && heartbeat > row.heartbeat) {
+            row.heartbeat = heartbeat;
+            row.heardAt = this.clock.now();
+        }
+    }
+}
+
+const newRow = (incarnation: bigint, now: Milliseconds): Row => ({
+    incarnation,
+    heartbeat: 0n,
+    heardAt: now,
+    records: new Map(),
+});
+
+/** Highest version among the records that travel in an exchange of this scope. */
+const getVersion = (row: Row, acrossZones: boolean): bigint => {
+    let version = 0n;
+    for (const record of row.records.values()) {
+        if (record.version > version && !(acrossZones && record.zoneScoped)) {
+            version = record.version;
+        }
+    }
+    return version;
+};
--- /dev/null
+++ b/packages/membership/src/Membership.ts
@@ -0,0 +1,258 @@
+/**
+ * Membership of instances: a periodic exchange of digests with one random instance, and an immediate one with
+ * the own zone's instances after a local change. Zone-scoped records never leave their zone.
+ */
+
+import { getErrorMessage, pickOne, toAddress } from "@anvilmux/common";
+import type { Address, Clock, Random, Timers, Unsubscribe } from "@anvilmux/common";
+import type { GossipReply, GossipRequest, MemberDigest, MemberRecord, MemberState } from "@anvilmux/protocol";
+import { GossipReplySchema, GossipRequestSchema } from "@anvilmux/protocol";
+import type { Logger } from "@anvilmux/telemetry";
+import { create } from "@bufbuild/protobuf";
+import Emittery from "emittery";
+import { gossipPeriodMs, gossipTimeoutMs, maximumDigestsPerMessage, roundsBetweenZones } from "./constants";
+import { MemberTable } from "./MemberTable";
+import { instanceRecordSchema } from "./types";
+import type { InstanceRecord, Member } from "./types";
+
+/** Sends one gossip message and waits for the reply. */
+export type SendGossip = (address: Address, request: GossipRequest, timeoutMs: number) => Promise<GossipReply>;
+
+export interface MembershipOptions {
+    readonly instanceId: string;
+    readonly zone: string;
+    readonly incarnation: number;
+    /** Peer addresses to ask while no other instance is known. */
+    readonly seeds: readonly Address[];
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly random: Random;
+    readonly logger: Logger;
+    readonly send: SendGossip;
+}
+
+export interface MembershipEvents {
+    /** Records of a member changed. */
+    readonly changed: { readonly memberId: string; readonly keys: readonly string[]; };
+}
+
+const instanceKey = "instance";
+
+export class Membership {
+    readonly events = new Emittery<MembershipEvents>();
+    private readonly table: MemberTable;
+    private readonly parsed = new Map<string, { readonly text: string; readonly record: InstanceRecord; }>();
+    private unsubscribe: Unsubscribe = () => undefined;
+    private round = 0;
+    private pushPlanned = false;
+    private stopped = false;
+
+    constructor(private readonly options: MembershipOptions) {
+        this.table = new MemberTable(
+            options.instanceId,
+            options.incarnation,
+            options.clock,
+            (memberId, records) => this.emitChange(memberId, records),
+        );
+    }
+
+    start(): void {
+        this.unsubscribe = this.options.timers.every(gossipPeriodMs, () => void this.runRound());
+        void this.runRound();
+    }
+
+    stop(): void {
+        this.stopped = true;
+        this.unsubscribe();
+    }
+
+    /** Publishes what this instance says about itself. */
+    publishSelf(record: InstanceRecord): void {
+        this.publish(instanceKey, record, false);
+    }
+
+    /** Publishes a record; `undefined` withdraws it. Unchanged records cost nothing. */
+    publish(key: string, value: unknown, zoneScoped: boolean): void {
+        const text = value === undefined ? undefined : JSON.stringify(value);
+        if (this.table.getRecord(this.options.instanceId, key) === text) {
+            return;
+        }
+        this.table.write(key, text, zoneScoped);
+        this.planPush();
+    }
+
+    /** All known members, this one included. */
+    getMembers(): readonly Member[] {
+        return this.table.getMemberIds().flatMap(id => this.getMember(id) ?? []);
+    }
+
+    getMember(id: string): Member | undefined {
+        const record = this.getInstanceRecord(id);
+        if (!record) {
+            return undefined;
+        }
+        return {
+            ...record,
+            id,
+            incarnation: this.table.getIncarnation(id),
+            liveness: this.table.getLiveness(id),
+        };
+    }
+
+    /** Records with a key prefix, with the member that published each and how long it has been silent. */
+    getRecords(
+        prefix: string,
+    ): readonly { readonly value: string; readonly memberId: string; readonly silence: number; }[] {
+        return this.table.getMemberIds().flatMap(memberId => {
+            const silence = this.table.getSilence(memberId);
+            return this.table.getRecords(memberId, prefix).map(record => ({ value: record.value, memberId, silence }));
+        });
+    }
+
+    /** Answers another instance's gossip. */
+    receive(request: GossipRequest): GossipReply {
+        const acrossZones = request.zone !== this.options.zone;
+        request.states.forEach(state => this.table.merge(state));
+        const missing = request.digests.filter(digest => this.table.noteDigest(digest, acrossZones));
+        const states = request.digests.flatMap(digest => this.table.getStateBeyond(digest, acrossZones) ?? []);
+        return create(GossipReplySchema, {
+            states: [...states, ...this.getUnmentioned(request, acrossZones)],
+            digests: missing.map(digest => this.table.getDigest(digest.instanceId, acrossZones)),
+        });
+    }
+
+    /** Members the sender may not know: only when its message names fewer members than this table has. */
+    private getUnmentioned(request: GossipRequest, acrossZones: boolean): readonly MemberState[] {
+        const known = this.table.getMemberIds();
+        if (
+            request.digests.length === 0 || request.digests.length >= Math.min(known.length, maximumDigestsPerMessage)
+        ) {
+            return [];
+        }
+        const named = new Set(request.digests.map(digest => digest.instanceId));
+        return known.filter(id => !named.has(id)).flatMap(id => {
+            const digest = { ...this.table.getDigest(id, acrossZones), version: 0n };
+            return this.table.getLiveness(id) === "alive" ? this.table.getStateBeyond(digest, acrossZones) ?? [] : [];
+        });
+    }
+
+    private async runRound(): Promise<void> {
+        this.table.beat();
+        this.table.forgetSilent();
+        this.round += 1;
+        const target = this.pickTarget();
+        if (target) {
+            await this.exchange(target.address, target.zone, this.pickDigests(target.zone !== this.options.zone));
+        }
+    }
+
+    private pickTarget(): { readonly address: Address; readonly zone: string; } | undefined {
+        const { random, zone, instanceId } = this.options;
+        const others = this.getMembers().filter(member => member.id !== instanceId && member.liveness !== "dead");
+        const outside = others.filter(member => member.zone !== zone);
+        const inside = others.filter(member => member.zone === zone);
+        const wantsOutside = this.round % roundsBetweenZones === 0 || inside.length === 0;
+        const member = pickOne(random, wantsOutside && outside.length > 0 ? outside : inside);
+        const useSeed = !member || this.round % (roundsBetweenZones * 5) === 1;
+        const seed = useSeed ? pickOne(random, this.options.seeds) : undefined;
+        if (seed) {
+            const known = others.find(other => other.peerAddress === seed);
+            return { address: seed, zone: known?.zone ?? "" };
+        }
+        return member && { address: toAddress(member.peerAddress), zone: member.zone };
+    }
+
+    /** Own zone first, then a random choice of the others. */
+    private pickDigests(acrossZones: boolean): readonly MemberDigest[] {
+        const ids = [...this.table.getMemberIds()];
+        const isNear = (id: string) => this.getInstanceRecord(id)?.zone === this.options.zone;
+        const ranked = ids.map(id => ({ id, rank: (isNear(id) ? 0 : 1) + this.options.random.next() }));
+        ranked.sort((left, right) => left.rank - right.rank);
+        return ranked.slice(0, maximumDigestsPerMessage).map(item => this.table.getDigest(item.id, acrossZones));
+    }
+
+    private async exchange(address: Address, zone: string, digests: readonly MemberDigest[]): Promise<void> {
+        const acrossZones = zone !== this.options.zone;
+        try {
+            const reply = await this.send(address, digests, []);
+            if (this.stopped) {
+                return;
+            }
+            reply.states.forEach(state => this.table.merge(state));
+            const lacking = reply.digests.flatMap(digest => this.table.getStateBeyond(digest, acrossZones) ?? []);
+            if (lacking.length > 0) {
+                await this.send(address, [], lacking);
+            }
+        }
+        catch (error) {
+            this.options.logger.debug("gossip failed", { address, reason: getErrorMessage(error) });
+        }
+    }
+
+    private send(
+        address: Address,
+        digests: readonly MemberDigest[],
+        states: readonly MemberState[],
+    ): Promise<GossipReply> {
+        const request = create(GossipRequestSchema, {
+            from: this.options.instanceId,
+            zone: this.options.zone,
+            digests: [...digests],
+            states: [...states],
+        });
+        return this.options.send(address, request, gossipTimeoutMs);
+    }
+
+    /** Sends own changes to every instance of the zone at once; several changes in a row share one push. */
+    private planPush(): void {
+        if (this.pushPlanned || this.stopped) {
+            return;
+        }
+        this.pushPlanned = true;
+        this.options.timers.after(0, () => {
+            this.pushPlanned = false;
+            this.pushToZone();
+        });
+    }
+
+    private pushToZone(): void {
+        const { instanceId, zone } = this.options;
+        const digest = this.table.getDigest(instanceId, false);
+        for (const member of this.getMembers()) {
+            if (member.id !== instanceId && member.zone === zone && member.liveness !== "dead") {
+                void this.exchange(toAddress(member.peerAddress), zone, [digest]);
+            }
+        }
+    }
+
+    private getInstanceRecord(id: string): InstanceRecord | undefined {
+        const text = this.table.getRecord(id, instanceKey);
+        if (text === undefined) {
+            return undefined;
+        }
+        const present = this.parsed.get(id);
+        if (present?.text === text) {
+            return present.record;
+        }
+        const result = instanceRecordSchema.safeParse(safeParseJson(text));
+        if (!result.success) {
+            return undefined;
+        }
+        this.parsed.set(id, { text, record: result.data });
+        return result.data;
+    }
+
+    private emitChange(memberId: string, records: readonly MemberRecord[]): void {
+        void this.events.emit("changed", { memberId, keys: records.map(record => record.key) });
+    }
+}
+
+/** Parses JSON from another instance; undefined when malformed. */
+export const safeParseJson = (text: string): unknown => {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+};
--- /dev/null
+++ b/packages/membership/src/constants.ts
@@ -0,0 +1,17 @@
+/** Periods and bounds of the membership protocol. */
+
+/** Time between two gossip rounds of an instance. */
+export const gossipPeriodMs = 200;
+/** Every so many rounds one instance of another zone is chosen. */
+export const roundsBetweenZones = 3;
+/** Silence after which a member is suspected and gets no new work. */
+export const suspectAfterMs = 1_500;
+/** Silence after which a member counts as dead and its tasks move on. */
+export const deadAfterMs = 4_000;
+/** Silence after which a member's records are dropped. */
+export const forgetAfterMs = 600_000;
+/** Digests in one message, so that its size does not grow with the deployment. */
+export const maximumDigestsPerMessage = 24;
+export const gossipTimeoutMs = 1_000;
+/** Time a left upstream or worker is remembered, so that late news cannot bring it back. */
+export const tombstoneRetentionMs = 600_000;
--- /dev/null
+++ b/packages/membership/src/types.ts
@@ -0,0 +1,58 @@
+/** Members, their records and what instances announce about themselves, upstreams and workers. */
+
+import { z } from "zod";
+
+export const instanceStates = ["starting", "ready", "leaving"] as const;
+
+/** What an instance says about itself, under the record key `instance`. */
+export const instanceRecordSchema = z.object({
+    zone: z.string(),
+    peerAddress: z.string(),
+    publicAddress: z.string(),
+    entry: z.boolean(),
+    control: z.boolean(),
+    state: z.enum(instanceStates),
+    configurationIndex: z.number(),
+    /** Free minus waiting slots by service, for spilling between zones. */
+    freeSlots: z.record(z.string(), z.number()).default({}),
+});
+
+const resourceAmount = z.number().nonnegative().max(1_000_000);
+
+/** What an upstream announces to any entry of its zone. */
+export const upstreamAnnouncementSchema = z.object({
+    service: z.string().min(1).max(63),
+    id: z.string().regex(/^[\w.:-]{1,128}$/, "use letters, digits, dot, dash, colon and underscore, at most 128"),
+    address: z.string().regex(/^[\w.:[\]-]+:\d{1,5}$/, "use HOST:PORT"),
+    slots: z.int().positive().max(10_000),
+    connections: z.int().positive().max(100_000),
+    /** Grows with each restart of the upstream. */
+    incarnation: z.number().nonnegative(),
+    leaseMs: z.number().min(200).max(600_000),
+});
+
+/** What a worker announces to any entry of its zone. */
+export const workerAnnouncementSchema = z.object({
+    id: upstreamAnnouncementSchema.shape.id,
+    address: upstreamAnnouncementSchema.shape.address,
+    rack: z.string().min(1).max(128),
+    processors: resourceAmount,
+    memoryMebibytes: resourceAmount,
+    accelerators: resourceAmount,
+    incarnation: z.number().nonnegative(),
+    leaseMs: z.number().min(200).max(600_000),
+});
+
+export type InstanceRecord = Readonly<z.infer<typeof instanceRecordSchema>>;
+export type UpstreamAnnouncement = Readonly<z.infer<typeof upstreamAnnouncementSchema>>;
+export type WorkerAnnouncement = Readonly<z.infer<typeof workerAnnouncementSchema>>;
+
+/** How sure this instance is that a member runs. */
+export type Liveness = "alive" | "suspect" | "dead";
+
+/** A member as this instance sees it. */
+export interface Member extends InstanceRecord {
+    readonly id: string;
+    readonly incarnation: number;
+    readonly liveness: Liveness;
+}
--- /dev/null
+++ b/packages/routing/src/SlotScheduler.ts
@@ -0,0 +1,391 @@
+/**
+ * Hands out the slots of one service's upstreams. Requests wait here and not in the upstreams. Short urgent work
+ * goes first; other work leaves a few slots free for it, and is not passed over for ever.
+ */
+
+import { getErrorMessage, newUniqueText, toGrantId } from "@anvilmux/common";
+import type { Clock, GrantId, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
+import type { Logger } from "@anvilmux/telemetry";
+import {
+    ageingBoundMs,
+    grantsPerAgedGrant,
+    headroomDeviations,
+    headroomPatience,
+    maximumHeadroomShare,
+    usageSmoothingMs,
+} from "./constants";
+import { getRequestClass, RequestQueue } from "./RequestQueue";
+import type { RunTimes } from "./RunTimes";
+import { SmoothedCount } from "./SmoothedCount";
+import type {
+    AdmissionView,
+    Admit,
+    ChooseUpstream,
+    GetOrderKey,
+    RefusalReason,
+    SlotDecision,
+    SlotOutcomeName,
+    UpstreamView,
+    WaitingRequest,
+} from "./types";
+import { UpstreamHealth } from "./UpstreamHealth";
+
+/** The functions in which schedulers differ. */
+export interface SchedulingPolicy {
+    readonly admit: Admit;
+    readonly getOrderKey: GetOrderKey;
+    readonly chooseUpstream: ChooseUpstream;
+    /** False serves classes strictly by order key and keeps no slots free. */
+    readonly protectsShortWork: boolean;
+}
+
+export interface SlotSchedulerOptions {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly runTimes: RunTimes;
+    readonly policy: SchedulingPolicy;
+    /** Largest share of the slots that a team may hold while others wait. */
+    readonly getTeamShare: (team: string) => number;
+}
+
+/** Takes the decision on one request. */
+export type DecisionListener = (decision: SlotDecision) => void;
+
+/** A slot that is in use. */
+export interface HeldSlot {
+    readonly upstreamId: string;
+    readonly entryId: string;
+    readonly kind: string;
+    readonly team: string;
+    readonly urgent: boolean;
+    readonly short: boolean;
+}
+
+/** What may be announced about an upstream. */
+export interface UpstreamSlots {
+    readonly id: string;
+    readonly address: UpstreamView["address"];
+    readonly slots: number;
+    readonly connectionsPerEntry: number;
+}
+
+interface UpstreamState extends UpstreamSlots {
+    inUse: number;
+    readonly heldByEntry: Map<string, number>;
+}
+
+const expiryPeriodMs = 5;
+
+/** Requests that none of the free slots suits, passed over in one go. */
+const maximumSetAside = 8;
+
+export class SlotScheduler {
+    readonly health: UpstreamHealth;
+    private readonly queue: RequestQueue;
+    private readonly listeners = new Map<string, DecisionListener>();
+    private upstreams = new Map<string, UpstreamState>();
+    private readonly held = new Map<GrantId, HeldSlot>();
+    private readonly heldByTeam = new Map<string, number>();
+    private readonly shortInUse: SmoothedCount;
+    private readonly urgentInUse: SmoothedCount;
+    private grantsSinceAged = 0;
+    private paused = false;
+    private readonly grantPrefix = newUniqueText();
+    private nextGrant = 0;
+    private readonly unsubscribe: Unsubscribe;
+
+    constructor(private readonly options: SlotSchedulerOptions) {
+        this.health = new UpstreamHealth(options.clock);
+        this.queue = new RequestQueue(options.policy.getOrderKey);
+        this.shortInUse = new SmoothedCount(options.clock, usageSmoothingMs);
+        this.urgentInUse = new SmoothedCount(options.clock, usageSmoothingMs);
+        this.unsubscribe = options.timers.every(expiryPeriodMs, () => this.expire());
+    }
+
+    /** Slots of healthy upstreams. */
+    get totalSlots(): number {
+        let slots = 0;
+        for (const upstream of this.upstreams.values()) {
+            slots += this.health.getState(upstream.id) === "healthy" ? upstream.slots : 0;
+        }
+        return slots;
+    }
+
+    /** Free slots of healthy upstreams. */
+    get freeSlots(): number {
+        let slots = 0;
+        for (const upstream of this.upstreams.values()) {
+            const isHealthy = this.health.getState(upstream.id) === "healthy";
+            slots += isHealthy ? Math.max(0, upstream.slots - upstream.inUse) : 0;
+        }
+        return slots;
+    }
+
+    get waiting(): number {
+        return this.queue.size;
+    }
+
+    /** Takes over the upstreams now announced. Slots in use at upstreams that are gone stay counted until released. */
+    updateUpstreams(announced: readonly UpstreamSlots[]): void {
+        const next = new Map<string, UpstreamState>();
+        for (const upstream of announced) {
+            const present = this.upstreams.get(upstream.id);
+            next.set(upstream.id, {
+                ...upstream,
+                inUse: present?.inUse ?? 0,
+                heldByEntry: present?.heldByEntry ?? new Map<string, number>(),
+            });
+        }
+        this.upstreams = next;
+        this.health.keepOnly(new Set(next.keys()));
+        this.serve();
+    }
+
+    /** While paused nothing is granted; requests wait. */
+    setPaused(paused: boolean): void {
+        this.paused = paused;
+        this.serve();
+    }
+
+    /** Asks for a slot; the decision comes now or later, once. */
+    request(request: WaitingRequest, listener: DecisionListener): void {
+        const reason = this.options.policy.admit(request, this.getView());
+        if (reason) {
+            listener(this.newRefusal(reason));
+            return;
+        }
+        if (request.forwarded && (this.paused || this.queue.size > 0 || this.freeSlots <= this.getHeadroom(request))) {
+            listener(this.newRefusal("deadline-out-of-reach"));
+            return;
+        }
+        this.queue.add(request);
+        this.listeners.set(request.id, listener);
+        this.serve();
+    }
+
+    /** Withdraws a waiting request without a decision. */
+    cancel(id: string): void {
+        this.queue.remove(id);
+        this.listeners.delete(id);
+    }
+
+    /** Refuses every waiting request. */
+    refuseAll(reason: RefusalReason): void {
+        this.queue.getAll().forEach(request => this.refuse(request, reason));
+    }
+
+    /** Frees a slot and learns from how the exchange ended. Unknown grants are ignored. */
+    release(grantId: GrantId, outcome: SlotOutcomeName, runTime: Milliseconds): void {
+        const slot = this.held.get(grantId);
+        if (!slot) {
+            return;
+        }
+        this.drop(grantId, slot);
+        this.learn(slot, outcome, runTime);
+        this.serve();
+    }
+
+    /** Counts a slot that an entry already holds, granted by an earlier steward. */
+    adopt(grantId: GrantId, slot: HeldSlot): void {
+        if (!this.held.has(grantId)) {
+            this.hold(grantId, slot);
+        }
+    }
+
+    /** Frees the slots of an entry but for those it says it holds. */
+    keepOnly(entryId: string, grantIds: ReadonlySet<string>): void {
+        for (const [grantId, slot] of this.held) {
+            if (slot.entryId === entryId && !grantIds.has(grantId)) {
+                this.drop(grantId, slot);
+            }
+        }
+        this.serve();
+    }
+
+    stop(): void {
+        this.unsubscribe();
+        this.refuseAll("shutting-down");
+    }
+
+    private getView(): AdmissionView {
+        return {
+            now: this.options.clock.now(),
+            totalSlots: this.totalSlots,
+            freeSlots: this.freeSlots,
+            urgentWork: this.queue.getWork("urgent"),
+            otherWork: this.queue.getWork("other"),
+            urgentSlots: this.urgentInUse.average,
+            waiting: this.queue.size,
+        };
+    }
+
+    /** Grants slots until none is free or nothing may have one. */
+    private serve(): void {
+        const setAside: WaitingRequest[] = [];
+        while (!this.paused && this.queue.size > 0 && this.freeSlots > 0 && setAside.length < maximumSetAside) {
+            const request = this.pickNext();
+            if (!request) {
+                break;
+            }
+            if (this.options.clock.now() + request.expectedRun > request.deadline) {
+                this.refuse(request, "deadline-passed");
+                continue;
+            }
+            const upstream = this.pickUpstream(request);
+            if (upstream) {
+                this.grant(request, upstream);
+            }
+            else if (this.isServable(request)) {
+                this.queue.remove(request.id);
+                setAside.push(request);
+            }
+            else {
+                this.refuse(request, "no-upstream");
+            }
+        }
+        setAside.forEach(request => this.queue.add(request));
+    }
+
+    /** The waiting request that may have the next slot. */
+    private pickNext(): WaitingRequest | undefined {
+        const isOverShare = (team: string) =>
+            (this.heldByTeam.get(team) ?? 0) >= this.options.getTeamShare(team) * this.totalSlots;
+        const urgent = this.queue.peek("urgent", isOverShare);
+        const other = this.queue.peek("other", isOverShare);
+        const aged = other !== undefined && this.options.clock.now() - other.enqueuedAt > ageingBoundMs;
+        if (aged && this.grantsSinceAged >= grantsPerAgedGrant) {
+            this.grantsSinceAged = 0;
+            return other;
+        }
+        return [urgent, other].find(request => request && this.freeSlots > this.getHeadroom(request));
+    }
+
+    /** Slots that must stay free when `request` is served: none for short urgent work. */
+    private getHeadroom(request: WaitingRequest): number {
+        if (!this.options.policy.protectsShortWork || (request.urgent && !request.long)) {
+            return 0;
+        }
+        const wanted = Math.min(
+            headroomDeviations * Math.sqrt(this.shortInUse.average),
+            this.totalSlots * maximumHeadroomShare,
+        );
+        const waited = this.options.clock.now() - request.enqueuedAt;
+        const patience = Math.max(0, 1 - waited / (headroomPatience * request.expectedRun));
+        return Math.round(wanted * (request.long ? patience : 1));
+    }
+
+    private pickUpstream(request: WaitingRequest): UpstreamState | undefined {
+        const candidates: UpstreamState[] = [];
+        for (const upstream of this.upstreams.values()) {
+            const isFree = upstream.inUse < upstream.slots
+                && (upstream.heldByEntry.get(request.entryId) ?? 0) < upstream.connectionsPerEntry;
+            if (isFree && this.health.isUsable(upstream.id) && !request.excludedUpstreams.includes(upstream.id)) {
+                candidates.push(upstream);
+            }
+        }
+        const chosen = candidates.length > 0 ? this.options.policy.chooseUpstream(candidates) : undefined;
+        return chosen && this.upstreams.get(chosen.id);
+    }
+
+    /** False when the request was tried at every upstream there is. */
+    private isServable(request: WaitingRequest): boolean {
+        return [...this.upstreams.keys()].some(id => !request.excludedUpstreams.includes(id));
+    }
+
+    private grant(request: WaitingRequest, upstream: UpstreamState): void {
+        const grantId = toGrantId(`${this.grantPrefix}-${this.nextGrant++}`);
+        this.queue.remove(request.id);
+        this.hold(grantId, {
+            upstreamId: upstream.id,
+            entryId: request.entryId,
+            kind: request.kind,
+            team: request.team,
+            urgent: request.urgent,
+            short: request.urgent && !request.long,
+        });
+        this.health.noteGranted(upstream.id);
+        this.grantsSinceAged += getRequestClass(request) === "urgent" ? 1 : 0;
+        this.decide(request.id, {
+            granted: true,
+            grantId,
+            upstreamId: upstream.id,
+            address: upstream.address,
+            queued: this.options.clock.now() - request.enqueuedAt,
+        });
+    }
+
+    private refuse(request: WaitingRequest, reason: RefusalReason): void {
+        this.queue.remove(request.id);
+        this.decide(request.id, this.newRefusal(reason));
+    }
+
+    private decide(id: string, decision: SlotDecision): void {
+        const listener = this.listeners.get(id);
+        this.listeners.delete(id);
+        try {
+            listener?.(decision);
+        }
+        catch (error) {
+            this.options.logger.error("slot decision not delivered", { id, reason: getErrorMessage(error) });
+        }
+    }
+
+    private newRefusal(reason: RefusalReason): SlotDecision {
+        const work = this.queue.getWork("urgent") + this.queue.getWork("other");
+        return { granted: false, reason, retryAfter: Math.max(50, work / Math.max(1, this.totalSlots)) };
+    }
+
+    private hold(grantId: GrantId, slot: HeldSlot): void {
+        this.held.set(grantId, slot);
+        this.count(slot, 1);
+    }
+
+    private drop(grantId: GrantId, slot: HeldSlot): void {
+        this.held.delete(grantId);
+        this.count(slot, -1);
+    }
+
+    private count(slot: HeldSlot, change: number): void {
+        const upstream = this.upstreams.get(slot.upstreamId);
+        if (upstream) {
+            upstream.inUse += change;
+            upstream.heldByEntry.set(slot.entryId, (upstream.heldByEntry.get(slot.entryId) ?? 0) + change);
+        }
+        this.heldByTeam.set(slot.team, (this.heldByTeam.get(slot.team) ?? 0) + change);
+        this.shortInUse.add(slot.short ? change : 0);
+        this.urgentInUse.add(slot.urgent ? change : 0);
+    }
+
+    private learn(slot: HeldSlot, outcome: SlotOutcomeName, runTime: Milliseconds): void {
+        switch (outcome) {
+            case "answered": {
+                const expected = this.options.runTimes.getExpected(slot.kind);
+                this.health.noteAnswer(slot.upstreamId, runTime / Math.max(1, expected));
+                this.options.runTimes.record(slot.kind, runTime);
+                return;
+            }
+            case "failed":
+            case "not-started":
+                this.health.noteFailure(slot.upstreamId);
+                return;
+            case "unused":
+                this.health.noteUnused(slot.upstreamId);
+                return;
+        }
+    }
+
+    /** Refuses requests that can no longer meet their deadline, and serves those whose patience ran out. */
+    private expire(): void {
+        if (this.queue.size === 0) {
+            return;
+        }
+        const now = this.options.clock.now();
+        for (const request of this.queue.getAll()) {
+            if (now > request.deadline) {
+                this.refuse(request, "deadline-passed");
+            }
+        }
+        this.serve();
+    }
+}
--- /dev/null
+++ b/packages/routing/src/StewardLink.ts
@@ -0,0 +1,159 @@
+/** An entry's stream to the steward of a service: requests and releases out, grants and refusals in. */
+
+import { getErrorMessage, newDeferred } from "@anvilmux/common";
+import type { Clock, Deferred, GrantId, Milliseconds, Timers } from "@anvilmux/common";
+import type { HeldGrant, StewardReply, StewardRequest } from "@anvilmux/protocol";
+import { SlotReleaseSchema, SlotRequestSchema, StewardHelloSchema, StewardRequestSchema } from "@anvilmux/protocol";
+import type { Logger } from "@anvilmux/telemetry";
+import type { PeerClient } from "@anvilmux/transport";
+import { create } from "@bufbuild/protobuf";
+import { newMessageQueue } from "./messageQueue";
+import type { MessageQueue } from "./messageQueue";
+import { fromGrantMessage, fromRefusalMessage, toOutcomeCode } from "./stewardMessages";
+import type { SlotAsk } from "./stewardMessages";
+import type { SlotDecision, SlotOutcomeName } from "./types";
+
+export interface StewardLinkOptions {
+    readonly service: string;
+    readonly stewardId: string;
+    readonly entryId: string;
+    readonly zone: string;
+    readonly peer: PeerClient;
+    /** Grants to report to the steward when the stream opens. */
+    readonly getHeldGrants: () => readonly HeldGrant[];
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    /** Called for each message sent. */
+    readonly onMessage: () => void;
+    /** A grant came for a request that was withdrawn meanwhile. */
+    readonly onUnwanted: (grantId: GrantId) => void;
+}
+
+/** `undefined` means that the stream ended before a decision: ask again elsewhere. */
+export type LinkDecision = SlotDecision | undefined;
+
+export class StewardLink {
+    private readonly outgoing: MessageQueue<StewardRequest> = newMessageQueue();
+    private readonly pending = new Map<bigint, Deferred<LinkDecision>>();
+    private readonly abort = new AbortController();
+    private batch: StewardRequest | undefined;
+    private nextSequence = 1n;
+    private accepted = false;
+    private ended = false;
+
+    constructor(private readonly options: StewardLinkOptions) {}
+
+    get stewardId(): string {
+        return this.options.stewardId;
+    }
+
+    /** True while the steward answers on this stream. */
+    get isUp(): boolean {
+        return this.accepted && !this.ended;
+    }
+
+    get isEnded(): boolean {
+        return this.ended;
+    }
+
+    /** Reads replies until the stream ends. */
+    async run(): Promise<void> {
+        const { service, entryId, zone, peer, getHeldGrants, logger } = this.options;
+        this.outgoing.push(create(StewardRequestSchema, {
+            hello: create(StewardHelloSchema, { service, entryId, zone, heldGrants: [...getHeldGrants()] }),
+        }));
+        try {
+            for await (const reply of peer.steward(this.outgoing, { signal: this.abort.signal })) {
+                this.receive(reply);
+            }
+        }
+        catch (error) {
+            logger.debug("steward stream ended", { service, steward: this.stewardId, reason: getErrorMessage(error) });
+        }
+        this.end();
+    }
+
+    /** Asks for a slot. An aborted `signal` withdraws the request. */
+    async ask(ask: SlotAsk, signal: AbortSignal): Promise<LinkDecision> {
+        const sequence = this.nextSequence++;
+        const deferred = newDeferred<LinkDecision>();
+        this.pending.set(sequence, deferred);
+        this.getBatch().requests.push(create(SlotRequestSchema, {
+            sequence,
+            requestId: ask.requestId,
+            workKind: ask.kind,
+            team: ask.team,
+            urgent: ask.urgent,
+            remainingMs: ask.remaining,
+            excludedUpstreams: [...ask.excludedUpstreams],
+            forwarded: ask.forwarded,
+        }));
+        const withdraw = () => {
+            this.pending.delete(sequence);
+            this.getBatch().cancelled.push(sequence);
+            deferred.resolve({ granted: false, reason: "caller-left", retryAfter: 0 });
+        };
+        signal.addEventListener("abort", withdraw);
+        const decision = await deferred.promise;
+        signal.removeEventListener("abort", withdraw);
+        return decision;
+    }
+
+    release(grantId: GrantId, outcome: SlotOutcomeName, runTime: Milliseconds): void {
+        this.getBatch().releases.push(
+            create(SlotReleaseSchema, { grantId, outcome: toOutcomeCode(outcome), runMs: runTime }),
+        );
+    }
+
+    close(): void {
+        this.end();
+    }
+
+    /** Everything asked for in one turn of the event loop travels in one message. */
+    private getBatch(): StewardRequest {
+        if (!this.batch) {
+            this.batch = create(StewardRequestSchema);
+            setImmediate(() => this.flush());
+        }
+        return this.batch;
+    }
+
+    private flush(): void {
+        if (this.batch && !this.ended) {
+            this.options.onMessage();
+            this.outgoing.push(this.batch);
+        }
+        this.batch = undefined;
+    }
+
+    private receive(reply: StewardReply): void {
+        this.accepted = this.accepted || reply.accepted;
+        reply.grants.forEach(message => {
+            const decision = fromGrantMessage(message);
+            if (!this.settle(message.sequence, decision) && decision.granted) {
+                this.options.onUnwanted(decision.grantId);
+                this.release(decision.grantId, "unused", 0);
+            }
+        });
+        reply.refusals.forEach(message => this.settle(message.sequence, fromRefusalMessage(message)));
+    }
+
+    private settle(sequence: bigint, decision: SlotDecision): boolean {
+        const deferred = this.pending.get(sequence);
+        this.pending.delete(sequence);
+        deferred?.resolve(decision);
+        return deferred !== undefined;
+    }
+
+    private end(): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        this.outgoing.end();
+        this.abort.abort();
+        this.pending.forEach(deferred => deferred.resolve(undefined));
+        this.pending.clear();
+    }
+}
--- /dev/null
+++ b/packages/routing/src/StewardSession.ts
@@ -0,0 +1,125 @@
+/** The steward's side of one entry's stream. */
+
+import { newUniqueText, toGrantId } from "@anvilmux/common";
+import type { HeldGrant, SlotRequest, StewardHello, StewardReply, StewardRequest } from "@anvilmux/protocol";
+import { StewardReplySchema } from "@anvilmux/protocol";
+import { create } from "@bufbuild/protobuf";
+import { newMessageQueue } from "./messageQueue";
+import type { SlotScheduler } from "./SlotScheduler";
+import { toGrantMessage, toOutcomeName, toRefusalMessage, toSlotAsk } from "./stewardMessages";
+import type { SlotAsk } from "./stewardMessages";
+import type { SlotDecision, WaitingRequest } from "./types";
+
+export interface StewardSessionOptions {
+    readonly scheduler: SlotScheduler;
+    /** Adds the scheduler's time and learned run times to a request. */
+    readonly toWaitingRequest: (ask: SlotAsk, id: string, entryId: string) => WaitingRequest;
+    readonly isShort: (kind: string, urgent: boolean) => boolean;
+    /** Called for each message sent. */
+    readonly onMessage: () => void;
+}
+
+export class StewardSession {
+    private readonly replies = newMessageQueue<StewardReply>();
+    private batch: StewardReply | undefined;
+    private ended = false;
+    private readonly id = newUniqueText();
+
+    constructor(readonly hello: StewardHello, private readonly options: StewardSessionOptions) {
+        options.scheduler.keepOnly(hello.entryId, new Set(hello.heldGrants.map(grant => grant.grantId)));
+        hello.heldGrants.forEach(grant => this.adopt(grant));
+    }
+
+    /** Reads the entry's messages until the stream ends; replies are yielded as decisions are made. */
+    async *run(requests: AsyncIterator<StewardRequest>): AsyncIterable<StewardReply> {
+        yield create(StewardReplySchema, { accepted: true });
+        void this.readAll(requests);
+        yield* this.replies;
+    }
+
+    /** Ends the stream, so that the entry asks the steward that it now knows. */
+    end(): void {
+        this.ended = true;
+        this.replies.end();
+    }
+
+    private async readAll(requests: AsyncIterator<StewardRequest>): Promise<void> {
+        const waiting = new Set<string>();
+        try {
+            for (let next = await requests.next(); !next.done; next = await requests.next()) {
+                this.receive(next.value, waiting);
+            }
+        }
+        catch {
+            // The stream broke; the entry opens another one.
+        }
+        waiting.forEach(id => this.options.scheduler.cancel(id));
+        this.end();
+    }
+
+    private receive(message: StewardRequest, waiting: Set<string>): void {
+        const { scheduler } = this.options;
+        message.releases.forEach(release =>
+            scheduler.release(toGrantId(release.grantId), toOutcomeName(release.outcome), release.runMs)
+        );
+        message.cancelled.forEach(sequence => scheduler.cancel(this.getId(sequence)));
+        message.requests.forEach(request => this.ask(request, waiting));
+    }
+
+    private ask(request: SlotRequest, waiting: Set<string>): void {
+        const id = this.getId(request.sequence);
+        waiting.add(id);
+        const waitingRequest = this.options.toWaitingRequest(toSlotAsk(request), id, this.hello.entryId);
+        this.options.scheduler.request(waitingRequest, decision => {
+            waiting.delete(id);
+            this.reply(request.sequence, decision);
+        });
+    }
+
+    private reply(sequence: bigint, decision: SlotDecision): void {
+        if (this.ended) {
+            if (decision.granted) {
+                this.options.scheduler.release(decision.grantId, "unused", 0);
+            }
+            return;
+        }
+        const batch = this.getBatch();
+        if (decision.granted) {
+            batch.grants.push(toGrantMessage(sequence, decision));
+        }
+        else {
+            batch.refusals.push(toRefusalMessage(sequence, decision));
+        }
+    }
+
+    private getBatch(): StewardReply {
+        if (!this.batch) {
+            this.batch = create(StewardReplySchema);
+            setImmediate(() => this.flush());
+        }
+        return this.batch;
+    }
+
+    private flush(): void {
+        if (this.batch) {
+            this.options.onMessage();
+            this.replies.push(this.batch);
+        }
+        this.batch = undefined;
+    }
+
+    private adopt(grant: HeldGrant): void {
+        this.options.scheduler.adopt(toGrantId(grant.grantId), {
+            upstreamId: grant.upstreamId,
+            entryId: this.hello.entryId,
+            kind: grant.workKind,
+            team: grant.team,
+            urgent: grant.urgent,
+            short: this.options.isShort(grant.workKind, grant.urgent),
+        });
+    }
+
+    private getId(sequence: bigint): string {
+        return `${this.id}/${sequence}`;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/types.ts
@@ -0,0 +1,80 @@
+/** Slot requests, grants and what the scheduler's functions see. */
+
+import type { Address, GrantId, Milliseconds } from "@anvilmux/common";
+
+/** How an exchange with an upstream ended, as far as the slot is concerned. */
+export type SlotOutcomeName = "answered" | "failed" | "not-started" | "unused";
+
+/** A request for one slot of a service. Times are on the scheduler's monotonic clock. */
+export interface WaitingRequest {
+    readonly id: string;
+    /** Entry instance that will dispatch. */
+    readonly entryId: string;
+    readonly kind: string;
+    readonly team: string;
+    readonly urgent: boolean;
+    readonly enqueuedAt: Milliseconds;
+    readonly deadline: Milliseconds;
+    readonly expectedRun: Milliseconds;
+    /** True when learned run times say that the kind runs long. */
+    readonly long: boolean;
+    readonly excludedUpstreams: readonly string[];
+    /** From another zone: served at once or refused. */
+    readonly forwarded: boolean;
+}
+
+export type RefusalReason =
+    | "no-upstream"
+    | "deadline-out-of-reach"
+    | "deadline-passed"
+    | "queue-full"
+    | "steward-unreachable"
+    | "shutting-down"
+    | "caller-left";
+
+export interface SlotRefused {
+    readonly granted: false;
+    readonly reason: RefusalReason;
+    readonly retryAfter: Milliseconds;
+}
+
+export interface SlotGranted {
+    readonly granted: true;
+    readonly grantId: GrantId;
+    readonly upstreamId: string;
+    readonly address: Address;
+    readonly queued: Milliseconds;
+}
+
+export type SlotDecision = SlotGranted | SlotRefused;
+
+/** A service's upstream as the scheduler sees it. */
+export interface UpstreamView {
+    readonly id: string;
+    readonly address: Address;
+    readonly slots: number;
+    /** Connections each entry may open. */
+    readonly connectionsPerEntry: number;
+    readonly inUse: number;
+}
+
+/** Chooses among upstreams that have a free slot. */
+export type ChooseUpstream = (candidates: readonly UpstreamView[]) => UpstreamView | undefined;
+
+export interface AdmissionView {
+    readonly now: Milliseconds;
+    readonly totalSlots: number;
+    readonly freeSlots: number;
+    /** Expected run time of the requests waiting, in slot milliseconds, by class. */
+    readonly urgentWork: Milliseconds;
+    readonly otherWork: Milliseconds;
+    /** Slots that urgent work holds on average. */
+    readonly urgentSlots: number;
+    readonly waiting: number;
+}
+
+/** Undefined admits; a reason refuses at once. */
+export type Admit = (request: WaitingRequest, view: AdmissionView) => RefusalReason | undefined;
+
+/** Smaller keys are served first within a class. */
+export type GetOrderKey = (request: WaitingRequest) => number;
--- /dev/null
+++ b/packages/telemetry/src/Metrics.ts
@@ -0,0 +1,113 @@
+/** Counters, gauges and latency histograms, shown as Prometheus text. */
+
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+
+export type Labels = Readonly<Record<string, string>>;
+
+const microsecondsPerMillisecond = 1_000;
+const highestMicroseconds = 600_000_000;
+const shownQuantiles = [0.5, 0.9, 0.99, 0.999];
+
+/** A histogram of durations with microsecond resolution and three significant digits. */
+export const newLatencyHistogram = (): Histogram =>
+    build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: highestMicroseconds,
+        numberOfSignificantValueDigits: 3,
+        bitBucketSize: 32,
+        useWebAssembly: false,
+    });
+
+/** Records a duration given in milliseconds. */
+export const recordMilliseconds = (histogram: Histogram, milliseconds: number): void => {
+    const microseconds = Math.round(milliseconds * microsecondsPerMillisecond);
+    histogram.recordValue(Math.min(highestMicroseconds, Math.max(0, microseconds)));
+};
+
+/** The duration in milliseconds below which `percentile` percent of the values lie. */
+export const getPercentileMilliseconds = (histogram: Histogram, percentile: number): number =>
+    histogram.getValueAtPercentile(percentile) / microsecondsPerMillisecond;
+
+const toLabelText = (labels: Labels): string => {
+    const parts = Object.entries(labels).map(([key, value]) =>
+        `${key}="${value.replaceAll("\\", "\\\\").replaceAll("\"", "\\\"").replaceAll("\n", "\\n")}"`
+    );
+    return parts.length === 0 ? "" : `{${parts.join(",")}}`;
+};
+
+interface HistogramSeries {
+    readonly histogram: Histogram;
+    sum: number;
+}
+
+/** The metrics of one instance. */
+export class Metrics {
+    private readonly counters = new Map<string, Map<string, number>>();
+    private readonly gauges = new Map<string, () => number>();
+    private readonly histograms = new Map<string, Map<string, HistogramSeries>>();
+
+    /** Adds to a counter. */
+    count(name: string, labels: Labels = {}, amount = 1): void {
+        const series = getOrAdd(this.counters, name, () => new Map<string, number>());
+        const label = toLabelText(labels);
+        series.set(label, (series.get(label) ?? 0) + amount);
+    }
+
+    /** The present value of a counter, summed over all labels that contain `labels`. */
+    getCount(name: string, labels: Labels = {}): number {
+        const wanted = Object.keys(labels).length === 0 ? [] : toLabelText(labels).slice(1, -1).split(",");
+        let sum = 0;
+        for (const [label, value] of this.counters.get(name) ?? []) {
+            sum += wanted.every(part => label.includes(part)) ? value : 0;
+        }
+        return sum;
+    }
+
+    /** Shows the result of `read` under `name` whenever metrics are read. */
+    gauge(name: string, labels: Labels, read: () => number): void {
+        this.gauges.set(name + toLabelText(labels), read);
+    }
+
+    /** Records a duration in a histogram. */
+    observe(name: string, labels: Labels, milliseconds: number): void {
+        const byLabel = getOrAdd(this.histograms, name, () => new Map<string, HistogramSeries>());
+        const series = getOrAdd(byLabel, toLabelText(labels), () => ({ histogram: newLatencyHistogram(), sum: 0 }));
+        recordMilliseconds(series.histogram, milliseconds);
+        series.sum += milliseconds;
+    }
+
+    /** Everything in Prometheus text exposition format. */
+    toPrometheusText(): string {
+        const lines: string[] = [];
+        for (const [name, series] of this.counters) {
+            lines.push(`# TYPE ${name} counter`);
+            series.forEach((value, label) => lines.push(`${name}${label} ${value}`));
+        }
+        this.gauges.forEach((read, key) => lines.push(`${key} ${read()}`));
+        for (const [name, byLabel] of this.histograms) {
+            lines.push(`# TYPE ${name} summary`);
+            byLabel.forEach((series, label) => lines.push(...toSummaryLines(name, label, series)));
+        }
+        return lines.join("\n") + "\n";
+    }
+}
+
+const toSummaryLines = (name: string, label: string, series: HistogramSeries): readonly string[] => {
+    const inner = label.slice(1, -1);
+    const quantiles = shownQuantiles.map(quantile => {
+        const labels = [inner, `quantile="${quantile}"`].filter(part => part !== "").join(",");
+        return `${name}{${labels}} ${getPercentileMilliseconds(series.histogram, quantile * 100)}`;
+    });
+    return [...quantiles, `${name}_sum${label} ${series.sum}`, `${name}_count${label} ${series.histogram.totalCount}`];
+};
+
+const getOrAdd = <Key, Value>(map: Map<Key, Value>, key: Key, make: () => Value): Value => {
+    const present = map.get(key);
+    if (present !== undefined) {
+        return present;
+    }
+    const value = make();
+    map.set(key, value);
+    return value;
+};
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,5 @@
+/** Logs, metrics, spans and the decisions behind `explain`. */
+export * from "./DecisionLog";
+export * from "./logger";
+export * from "./Metrics";
+export * from "./Tracing";
--- /dev/null
+++ b/stand-ins/src/StandInWorker.ts
@@ -0,0 +1,200 @@
+/**
+ * A stand-in for a worker, after the worker's page in docs/INTERFACE.md: it grants one owner a lease, refuses starts
+ * of any other, never starts a task id twice, and ends an owner's tasks when the lease runs out.
+ */
+
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+export interface StandInWorkerOptions {
+    readonly id: string;
+    readonly rack: string;
+    readonly processors: number;
+    readonly memoryMebibytes: number;
+    readonly accelerators: number;
+}
+
+/** What a task's payload tells the stand-in to do. */
+interface TaskPayload {
+    readonly runMs?: number;
+    readonly fails?: boolean;
+}
+
+interface WireTask {
+    readonly id: string;
+    readonly processors: number;
+    readonly payload: string;
+}
+
+interface RunningTask {
+    readonly timer: NodeJS.Timeout;
+    readonly processors: number;
+    readonly end: (state: "finished" | "failed", result: string, reason: string) => void;
+}
+
+export class StandInWorker {
+    readonly starts = new Map<string, number>();
+    /** Starts that came after the cancellation of the same task. */
+    startsAfterCancel = 0;
+    failsEverything = false;
+    /** Most processors that tasks ever held at once. */
+    mostProcessors = 0;
+    private usedProcessors = 0;
+    private ownerId = "";
+    private epoch = 0;
+    private leaseEnd = 0;
+    private readonly running = new Map<string, RunningTask>();
+    private readonly cancelled = new Set<string>();
+    private readonly sockets = new Set<Socket>();
+    private readonly leaseTimer: NodeJS.Timeout;
+    private readonly server: Server;
+
+    constructor(readonly options: StandInWorkerOptions) {
+        this.server = createServer((request, response) => void this.serve(request, response));
+        this.server.keepAliveTimeout = 0;
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
+        this.leaseTimer = setInterval(() => this.endExpiredLease(), 50);
+    }
+
+    get runningCount(): number {
+        return this.running.size;
+    }
+
+    async listen(): Promise<string> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Dies at once, as a killed worker does. */
+    async close(): Promise<void> {
+        clearInterval(this.leaseTimer);
+        this.running.forEach(task => clearTimeout(task.timer));
+        this.running.clear();
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.sockets.forEach(socket => socket.destroy());
+        await closed;
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of request as AsyncIterable<Buffer>) {
+            chunks.push(chunk);
+        }
+        const document = JSON.parse(Buffer.concat(chunks).toString() || "{}");
+        switch (request.url) {
+            case "/v1/lease":
+                sendJson(response, this.lease(document.ownerId, document.epoch, document.leaseMs));
+                return;
+            case "/v1/release":
+                if (document.ownerId === this.ownerId && document.epoch === this.epoch) {
+                    this.leaseEnd = 0;
+                    this.ownerId = "";
+                }
+                sendJson(response, {});
+                return;
+            case "/v1/cancel":
+                (document.taskIds as readonly string[]).forEach(id => this.cancel(id));
+                sendJson(response, {});
+                return;
+            case "/v1/tasks":
+                this.startTasks(document.ownerId, document.epoch, document.tasks, response);
+                return;
+            default:
+                response.writeHead(404).end();
+        }
+    }
+
+    /** Grants or renews the lease; another owner gets it only when the present lease has ended. */
+    private lease(ownerId: string, epoch: number, leaseMs: number) {
+        const now = performance.now();
+        const isHeld = this.ownerId !== "" && now < this.leaseEnd;
+        if (isHeld && ownerId !== this.ownerId) {
+            return { granted: false, epoch: this.epoch, remainingMs: this.leaseEnd - now };
+        }
+        if (ownerId !== this.ownerId) {
+            this.endExpiredLease();
+            this.ownerId = ownerId;
+            this.epoch = Math.max(this.epoch + 1, epoch);
+        }
+        this.leaseEnd = now + leaseMs;
+        return { granted: true, epoch: this.epoch, remainingMs: leaseMs };
+    }
+
+    private endExpiredLease(): void {
+        if (performance.now() >= this.leaseEnd && this.running.size > 0) {
+            this.running.forEach(task => task.end("failed", "", "the owner's lease ended"));
+        }
+    }
+
+    private cancel(id: string): void {
+        this.cancelled.add(id);
+        this.running.get(id)?.end("failed", "", "cancelled");
+    }
+
+    /** Answers with one line for each task, written as soon as the task has ended. */
+    private startTasks(ownerId: string, epoch: number, tasks: readonly WireTask[], response: ServerResponse): void {
+        response.writeHead(200, { "content-type": "application/x-ndjson" });
+        let open = tasks.length;
+        const write = (taskId: string, state: string, result: string, reason: string) => {
+            response.write(JSON.stringify({ taskId, state, result, reason }) + "\n");
+            open -= 1;
+            if (open === 0) {
+                response.end();
+            }
+        };
+        const isOwner = ownerId === this.ownerId && epoch === this.epoch && performance.now() < this.leaseEnd;
+        for (const task of tasks) {
+            if (!isOwner) {
+                write(task.id, "refused", "", "not the owner of this worker");
+            }
+            else if (this.starts.has(task.id) || this.cancelled.has(task.id)) {
+                write(task.id, "refused", "", "the task was started or cancelled before");
+            }
+            else {
+                this.startTask(task, (state, result, reason) => write(task.id, state, result, reason));
+            }
+        }
+    }
+
+    private startTask(task: WireTask, report: RunningTask["end"]): void {
+        this.starts.set(task.id, (this.starts.get(task.id) ?? 0) + 1);
+        if (this.cancelled.has(task.id)) {
+            this.startsAfterCancel += 1;
+        }
+        const payload = parsePayload(task.payload);
+        this.usedProcessors += task.processors;
+        this.mostProcessors = Math.max(this.mostProcessors, this.usedProcessors);
+        const end: RunningTask["end"] = (state, result, reason) => {
+            clearTimeout(running.timer);
+            if (this.running.delete(task.id)) {
+                this.usedProcessors -= task.processors;
+                report(state, result, reason);
+            }
+        };
+        const fails = this.failsEverything || payload.fails === true;
+        const timer = setTimeout(
+            () => fails ? end("failed", "", "the task failed") : end("finished", `done ${task.id}`, ""),
+            fails ? 1 : payload.runMs ?? 0,
+        );
+        const running: RunningTask = { timer, processors: task.processors, end };
+        this.running.set(task.id, running);
+    }
+}
+
+const parsePayload = (payload: string): TaskPayload => {
+    try {
+        return JSON.parse(payload) as TaskPayload;
+    }
+    catch {
+        return {};
+    }
+};
+
+const sendJson = (response: ServerResponse, document: unknown): void => {
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify(document));
+};
--- /dev/null
+++ b/stand-ins/src/index.ts
@@ -0,0 +1,4 @@
+/** Stand-ins for what anvilmux serves: upstreams, workers and their announcements. */
+export * from "./Announcer";
+export * from "./StandInUpstream";
+export * from "./StandInWorker";
