Steward grants: no lost grants, no false ejection, spill before waiting

Zone-scoped records were lost when a cross-zone exchange raised the version first; grants leaked when stewards changed; unlearned kinds counted as slow upstreams; zones with more entries were overloaded while others had free slots. Change: separate versions for zone-scoped records, round-robin gossip inside a zone, releases to the present steward, slowness only for learned kinds, a try in another zone before a request waits.

--- /dev/null
+++ b/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** The bench runner has no library interface. */
+export {};
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -1,1 +1,25 @@
-export {};
+/** Runs one bench by name and prints its result as one JSON line. */
+
+import { benches } from "./registry";
+import { isMet } from "./types";
+
+const [name = "list", ...rest] = process.argv.slice(2);
+const seedPosition = rest.indexOf("--seed");
+const seed = seedPosition >= 0 ? Number(rest[seedPosition + 1]) : 1;
+
+if (name === "list") {
+    benches.forEach(bench => process.stdout.write(`${bench.name.padEnd(24)}${bench.description}\n`));
+    process.exit(0);
+}
+const bench = benches.find(candidate => candidate.name === name);
+if (!bench) {
+    process.stderr.write(`no bench is called "${name}"; use: ${benches.map(candidate => candidate.name).join(", ")}\n`);
+    process.exit(2);
+}
+const { metrics, baseline, targets } = await bench.run(seed);
+const met = targets.every(target => isMet(target, metrics));
+const target = Object.fromEntries(
+    targets.map(item => [item.metric, { [item.bound]: item.value, met: isMet(item, metrics) }]),
+);
+process.stdout.write(JSON.stringify({ bench: bench.name, seed, metrics, baseline, target, met }) + "\n");
+process.exit(0);
--- /dev/null
+++ b/bench/src/registry.ts
@@ -0,0 +1,6 @@
+/** All benches. */
+
+import { slowdown } from "./benches/slowdown";
+import type { Bench } from "./types";
+
+export const benches: readonly Bench[] = [slowdown];
--- a/packages/anvilmux/src/SlotDirectory.ts
+++ b/packages/anvilmux/src/SlotDirectory.ts
@@ -7,6 +7,7 @@
 import type { StrategyName } from "@anvilmux/routing";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { PeerNetwork } from "@anvilmux/transport";
+import { SpareSlots } from "./SpareSlots";
 import type { ZoneView } from "./ZoneView";
 
 export interface SlotDirectoryOptions {
@@ -25,9 +26,9 @@
     readonly network: PeerNetwork;
 }
 
-const refreshPeriodMs = 100;
+const refreshPeriodMs = 250;
 /** Free slots are published in steps of this share of the capacity, so that gossip stays small. */
-const publishedSteps = 4;
+const publishedSteps = 10;
 
 export class SlotDirectory {
     readonly connections: UpstreamConnections;
@@ -120,6 +121,7 @@
 
     private newServiceSlots(service: string): ServiceSlots {
         const { instanceId, zone, clock, timers, logger, metrics, zoneView, network, configuration } = this.options;
+        const spare = new SpareSlots(clock, this.options.random, () => zoneView.getSpareElsewhere(service));
         return new ServiceSlots({
             service,
             entryId: instanceId,
@@ -133,7 +135,8 @@
             getSteward: inZone => zoneView.getSteward(service, inZone),
             getEntriesInZone: () => zoneView.getEntries(zone).length,
             getEntriesEverywhere: () => zoneView.countEntriesEverywhere(),
-            pickOtherZone: () => zoneView.pickOtherZone(service),
+            takeSpareElsewhere: () => spare.take(),
+            pickOtherZone: () => spare.pickZone(),
             connect: address => network.peer(address),
             onMessage: kind => metrics.count("anvilmux_own_messages_total", { kind }),
         });
--- a/packages/anvilmux/src/ZoneView.ts
+++ b/packages/anvilmux/src/ZoneView.ts
@@ -5,13 +5,16 @@
 import type { AnnouncedReplica, ConfigurationPeer } from "@anvilmux/control";
 import type { WorkerOwner } from "@anvilmux/jobs";
 import type { LeaseRegistry, Member, Membership, WorkerAnnouncement } from "@anvilmux/membership";
-import { safeParseJson } from "@anvilmux/membership";
+import { loadRecordSchema, safeParseJson } from "@anvilmux/membership";
 import type { StewardAddress } from "@anvilmux/routing";
 import { z } from "zod";
 
 /** Prefix of the records in which control instances announce their data folder. */
 export const replicaRecordKey = "replica";
 
+/** Key of the records in which stewards report free slots. */
+export const loadRecordKey = "load";
+
 const replicaRecordSchema = z.object({ memberId: z.string(), address: z.string() });
 
 export interface ZoneViewOptions {
@@ -23,6 +26,12 @@
     readonly controlPeers: readonly Address[];
 }
 
+/** Free slots of a service in a zone. */
+export interface ZoneSpare {
+    readonly zone: string;
+    readonly free: number;
+}
+
 export class ZoneView {
     constructor(private readonly options: ZoneViewOptions) {}
 
@@ -47,16 +56,14 @@
         return member && { instanceId: member.id, address: toAddress(member.peerAddress) };
     }
 
-    /** Another zone whose steward lately reported free slots, at random. */
-    pickOtherZone(service: string): string | undefined {
-        const zones = new Set(
-            this.options.membership.getMembers()
-                .filter(member => member.zone !== this.options.zone && member.liveness === "alive")
-                .filter(member => (member.freeSlots[service] ?? 0) > 0)
-                .map(member => member.zone),
-        );
-        const list = [...zones];
-        return list[this.options.random.integer(list.length)];
+    /** Free slots of a service that the stewards of other zones reported last. */
+    getSpareElsewhere(service: string): readonly ZoneSpare[] {
+        return this.options.membership.getRecords(loadRecordKey).flatMap(record => {
+            const member = this.options.membership.getMember(record.memberId);
+            const free = loadRecordSchema.safeParse(safeParseJson(record.value)).data?.[service] ?? 0;
+            const isUsable = member?.liveness === "alive" && member.zone !== this.options.zone && free > 0;
+            return isUsable ? [{ zone: member.zone, free }] : [];
+        });
     }
 
     /** The zone's workers by owning entry. */
--- a/packages/anvilmux/src/services/entry.ts
+++ b/packages/anvilmux/src/services/entry.ts
@@ -31,12 +31,13 @@
     workersToken,
     zoneViewToken,
 } from "../tokens";
+import { loadRecordKey } from "../ZoneView";
 
 export const defineEntryServices = (kernel: Kernel, settings: Settings): void => {
     kernel
         .define({
             token: slotsToken,
-            requires: [configurationToken, upstreamsToken, zoneViewToken, networkToken, metricsToken],
+            requires: [configurationToken, membershipToken, upstreamsToken, zoneViewToken, networkToken, metricsToken],
             start: () => startSlots(kernel, settings),
             stop: slots => slots.stop(),
         })
@@ -80,6 +81,8 @@
         });
 };
 
+const loadPeriodMs = 500;
+
 const startSlots = (kernel: Kernel, settings: Settings): SlotDirectory => {
     const slots = new SlotDirectory({
         instanceId: settings["instance-id"],
@@ -97,6 +100,11 @@
         network: kernel.get(networkToken),
     });
     slots.start();
+    const membership = kernel.get(membershipToken);
+    kernel.get(timersToken).every(
+        loadPeriodMs,
+        () => membership.publish(loadRecordKey, slots.getFreeSlots(), false, false),
+    );
     return slots;
 };
 
@@ -167,7 +175,6 @@
             entry: true,
             control: settings["data-folder"] !== "",
             configurationIndex: configuration.index,
-            freeSlots: kernel.get(slotsToken).getFreeSlots(),
         }),
         getObstacle: () => getObstacle(configuration.index, configuration.highestKnownIndex),
         getOpenWork: () => kernel.get(callsToken).callsInFlight + kernel.get(jobsToken).runningJobs,
--- a/packages/membership/src/MemberTable.ts
+++ b/packages/membership/src/MemberTable.ts
@@ -23,6 +23,7 @@
 export class MemberTable {
     private readonly rows = new Map<string, Row>();
     private nextVersion = 1n;
+    private nextZoneVersion = 1n;
 
     constructor(
         readonly selfId: string,
@@ -39,7 +40,7 @@
             key,
             value: value ?? "",
             tombstone: value === undefined,
-            version: this.nextVersion++,
+            version: zoneScoped ? this.nextZoneVersion++ : this.nextVersion++,
             zoneScoped,
         });
         this.self.records.set(key, record);
@@ -94,13 +95,14 @@
         }
     }
 
-    getDigest(memberId: string, acrossZones: boolean): MemberDigest {
+    getDigest(memberId: string): MemberDigest {
         const row = this.rows.get(memberId);
         return create(MemberDigestSchema, {
             instanceId: memberId,
             incarnation: row?.incarnation ?? 0n,
             heartbeat: row?.heartbeat ?? 0n,
-            version: row ? getVersion(row, acrossZones) : 0n,
+            version: row ? getVersion(row, false) : 0n,
+            zoneVersion: row ? getVersion(row, true) : 0n,
         });
     }
 
@@ -114,7 +116,8 @@
             return false;
         }
         this.noteHeartbeat(digest.instanceId, row, digest.heartbeat);
-        return digest.version > getVersion(row, acrossZones);
+        return digest.version > getVersion(row, false)
+            || (!acrossZones && digest.zoneVersion > getVersion(row, true));
     }
 
     /** The records that the owner of `digest` lacks; undefined when it lacks none. */
@@ -123,10 +126,11 @@
         if (!row || row.incarnation < digest.incarnation) {
             return undefined;
         }
-        const known = row.incarnation > digest.incarnation ? 0n : digest.version;
-        const records = [...row.records.values()].filter(record =>
-            record.version > known && !(acrossZones && record.zoneScoped)
-        );
+        const isOtherLife = row.incarnation > digest.incarnation;
+        const records = [...row.records.values()].filter(record => {
+            const known = record.zoneScoped ? digest.zoneVersion : digest.version;
+            return (isOtherLife || record.version > known) && !(acrossZones && record.zoneScoped);
+        });
         if (records.length === 0) {
             return undefined;
         }
@@ -179,11 +183,11 @@
     records: new Map(),
 });
 
-/** Highest version among the records that travel in an exchange of this scope. */
-const getVersion = (row: Row, acrossZones: boolean): bigint => {
+/** Highest version among the zone-scoped records, or among the others. */
+const getVersion = (row: Row, zoneScoped: boolean): bigint => {
     let version = 0n;
     for (const record of row.records.values()) {
-        if (record.version > version && !(acrossZones && record.zoneScoped)) {
+        if (record.version > version && record.zoneScoped === zoneScoped) {
             version = record.version;
         }
     }
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -4,13 +4,21 @@
  */
 
 import { getErrorMessage, pickOne, toAddress } from "@anvilmux/common";
-import type { Address, Clock, Random, Timers, Unsubscribe } from "@anvilmux/common";
+import type { Address, Clock, Milliseconds, Random, Timers, Unsubscribe } from "@anvilmux/common";
 import type { GossipReply, GossipRequest, MemberDigest, MemberRecord, MemberState } from "@anvilmux/protocol";
 import { GossipReplySchema, GossipRequestSchema } from "@anvilmux/protocol";
 import type { Logger } from "@anvilmux/telemetry";
 import { create } from "@bufbuild/protobuf";
 import Emittery from "emittery";
-import { gossipPeriodMs, gossipTimeoutMs, maximumDigestsPerMessage, roundsBetweenZones } from "./constants";
+import {
+    gossipPeriodMs,
+    gossipTimeoutMs,
+    maximumDigestsPerMessage,
+    memberListLifetimeMs,
+    roundsBetweenSeeds,
+    roundsBetweenZones,
+    zoneTargetsPerRound,
+} from "./constants";
 import { MemberTable } from "./MemberTable";
 import { instanceRecordSchema } from "./types";
 import type { InstanceRecord, Member } from "./types";
@@ -31,6 +39,12 @@
     readonly send: SendGossip;
 }
 
+interface GossipTarget {
+    readonly address: Address;
+    /** Empty when unknown. */
+    readonly zone: string;
+}
+
 export interface MembershipEvents {
     /** Records of a member changed. */
     readonly changed: { readonly memberId: string; readonly keys: readonly string[]; };
@@ -43,7 +57,9 @@
     private readonly table: MemberTable;
     private readonly parsed = new Map<string, { readonly text: string; readonly record: InstanceRecord; }>();
     private unsubscribe: Unsubscribe = () => undefined;
+    private memberList: { readonly at: Milliseconds; readonly members: readonly Member[]; } | undefined;
     private round = 0;
+    private nextInside = 0;
     private pushPlanned = false;
     private stopped = false;
 
@@ -71,19 +87,29 @@
         this.publish(instanceKey, record, false);
     }
 
-    /** Publishes a record; `undefined` withdraws it. Unchanged records cost nothing. */
-    publish(key: string, value: unknown, zoneScoped: boolean): void {
+    /**
+     * Publishes a record; `undefined` withdraws it. Unchanged records cost nothing. Records that change often are
+     * left to the periodic rounds with `pushed` false.
+     */
+    publish(key: string, value: unknown, zoneScoped: boolean, pushed = true): void {
         const text = value === undefined ? undefined : JSON.stringify(value);
         if (this.table.getRecord(this.options.instanceId, key) === text) {
             return;
         }
         this.table.write(key, text, zoneScoped);
-        this.planPush();
+        if (pushed) {
+            this.planPush();
+        }
     }
 
     /** All known members, this one included. */
     getMembers(): readonly Member[] {
-        return this.table.getMemberIds().flatMap(id => this.getMember(id) ?? []);
+        const now = this.options.clock.now();
+        if (!this.memberList || now - this.memberList.at > memberListLifetimeMs) {
+            const members = this.table.getMemberIds().flatMap(id => this.getMember(id) ?? []);
+            this.memberList = { at: now, members };
+        }
+        return this.memberList.members;
     }
 
     getMember(id: string): Member | undefined {
@@ -117,7 +143,7 @@
         const states = request.digests.flatMap(digest => this.table.getStateBeyond(digest, acrossZones) ?? []);
         return create(GossipReplySchema, {
             states: [...states, ...this.getUnmentioned(request, acrossZones)],
-            digests: missing.map(digest => this.table.getDigest(digest.instanceId, acrossZones)),
+            digests: missing.map(digest => this.table.getDigest(digest.instanceId)),
         });
     }
 
@@ -131,7 +157,7 @@
         }
         const named = new Set(request.digests.map(digest => digest.instanceId));
         return known.filter(id => !named.has(id)).flatMap(id => {
-            const digest = { ...this.table.getDigest(id, acrossZones), version: 0n };
+            const digest = { ...this.table.getDigest(id), version: 0n, zoneVersion: 0n };
             return this.table.getLiveness(id) === "alive" ? this.table.getStateBeyond(digest, acrossZones) ?? [] : [];
         });
     }
@@ -140,35 +166,39 @@
         this.table.beat();
         this.table.forgetSilent();
         this.round += 1;
-        const target = this.pickTarget();
-        if (target) {
-            await this.exchange(target.address, target.zone, this.pickDigests(target.zone !== this.options.zone));
-        }
+        const digests = this.pickDigests();
+        await Promise.all(this.pickTargets().map(target => this.exchange(target.address, target.zone, digests)));
     }
 
-    private pickTarget(): { readonly address: Address; readonly zone: string; } | undefined {
-        const { random, zone, instanceId } = this.options;
+    /** The zone's instances in turn, now and then one of another zone, and a seed while few are known. */
+    private pickTargets(): readonly GossipTarget[] {
+        const { random, zone, instanceId, seeds } = this.options;
         const others = this.getMembers().filter(member => member.id !== instanceId && member.liveness !== "dead");
         const outside = others.filter(member => member.zone !== zone);
         const inside = others.filter(member => member.zone === zone);
-        const wantsOutside = this.round % roundsBetweenZones === 0 || inside.length === 0;
-        const member = pickOne(random, wantsOutside && outside.length > 0 ? outside : inside);
-        const useSeed = !member || this.round % (roundsBetweenZones * 5) === 1;
-        const seed = useSeed ? pickOne(random, this.options.seeds) : undefined;
-        if (seed) {
-            const known = others.find(other => other.peerAddress === seed);
-            return { address: seed, zone: known?.zone ?? "" };
+        const targets: GossipTarget[] = [];
+        for (let turn = 0; turn < Math.min(zoneTargetsPerRound, inside.length); turn++) {
+            targets.push(toTarget(inside[this.nextInside++ % inside.length]!));
+        }
+        const chosen = this.round % roundsBetweenZones === 0 ? pickOne(random, outside) : undefined;
+        if (chosen) {
+            targets.push(toTarget(chosen));
         }
-        return member && { address: toAddress(member.peerAddress), zone: member.zone };
+        const needsSeed = others.length === 0 || this.round % roundsBetweenSeeds === 0;
+        const seed = needsSeed ? pickOne(random, seeds) : undefined;
+        if (seed && !targets.some(target => target.address === seed)) {
+            targets.push({ address: seed, zone: others.find(other => other.peerAddress === seed)?.zone ?? "" });
+        }
+        return targets;
     }
 
     /** Own zone first, then a random choice of the others. */
-    private pickDigests(acrossZones: boolean): readonly MemberDigest[] {
+    private pickDigests(): readonly MemberDigest[] {
         const ids = [...this.table.getMemberIds()];
         const isNear = (id: string) => this.getInstanceRecord(id)?.zone === this.options.zone;
         const ranked = ids.map(id => ({ id, rank: (isNear(id) ? 0 : 1) + this.options.random.next() }));
         ranked.sort((left, right) => left.rank - right.rank);
-        return ranked.slice(0, maximumDigestsPerMessage).map(item => this.table.getDigest(item.id, acrossZones));
+        return ranked.slice(0, maximumDigestsPerMessage).map(item => this.table.getDigest(item.id));
     }
 
     private async exchange(address: Address, zone: string, digests: readonly MemberDigest[]): Promise<void> {
@@ -217,7 +247,7 @@
 
     private pushToZone(): void {
         const { instanceId, zone } = this.options;
-        const digest = this.table.getDigest(instanceId, false);
+        const digest = this.table.getDigest(instanceId);
         for (const member of this.getMembers()) {
             if (member.id !== instanceId && member.zone === zone && member.liveness !== "dead") {
                 void this.exchange(toAddress(member.peerAddress), zone, [digest]);
@@ -243,10 +273,13 @@
     }
 
     private emitChange(memberId: string, records: readonly MemberRecord[]): void {
+        this.memberList = undefined;
         void this.events.emit("changed", { memberId, keys: records.map(record => record.key) });
     }
 }
 
+const toTarget = (member: Member): GossipTarget => ({ address: toAddress(member.peerAddress), zone: member.zone });
+
 /** Parses JSON from another instance; undefined when malformed. */
 export const safeParseJson = (text: string): unknown => {
     try {
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -1,13 +1,17 @@
 /** Periods and bounds of the membership protocol. */
 
 /** Time between two gossip rounds of an instance. */
-export const gossipPeriodMs = 200;
+export const gossipPeriodMs = 500;
 /** Every so many rounds one instance of another zone is chosen. */
-export const roundsBetweenZones = 3;
+export const roundsBetweenZones = 1;
+/** Instances of the own zone that one round reaches, in turn. */
+export const zoneTargetsPerRound = 2;
+/** Every so many rounds a seed is asked as well, so that parts of the deployment that lost each other meet again. */
+export const roundsBetweenSeeds = 12;
 /** Silence after which a member is suspected and gets no new work. */
-export const suspectAfterMs = 1_500;
+export const suspectAfterMs = 2_500;
 /** Silence after which a member counts as dead and its tasks move on. */
-export const deadAfterMs = 4_000;
+export const deadAfterMs = 6_000;
 /** Silence after which a member's records are dropped. */
 export const forgetAfterMs = 600_000;
 /** Digests in one message, so that its size does not grow with the deployment. */
@@ -15,3 +19,5 @@
 export const gossipTimeoutMs = 1_000;
 /** Time a left upstream or worker is remembered, so that late news cannot bring it back. */
 export const tombstoneRetentionMs = 600_000;
+/** Time for which a list of members is used again before liveness is looked at anew. */
+export const memberListLifetimeMs = 50;
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -13,10 +13,11 @@
     control: z.boolean(),
     state: z.enum(instanceStates),
     configurationIndex: z.number(),
-    /** Free minus waiting slots by service, for spilling between zones. */
-    freeSlots: z.record(z.string(), z.number()).default({}),
 });
 
+/** Free minus waiting slots by service at a steward, under the record key `load`, for spilling between zones. */
+export const loadRecordSchema = z.record(z.string(), z.number());
+
 const resourceAmount = z.number().nonnegative().max(1_000_000);
 
 /** What an upstream announces to any entry of its zone. */
--- a/packages/routing/src/CallHandler.ts
+++ b/packages/routing/src/CallHandler.ts
@@ -188,6 +188,7 @@
             remaining: call.deadline - this.options.clock.now(),
             excludedUpstreams: excluded,
             forwarded: false,
+            maySpill: true,
         }, signal);
         if (!decision.granted) {
             queuedHop.end(decision.reason);
--- a/packages/routing/src/RunTimes.ts
+++ b/packages/routing/src/RunTimes.ts
@@ -51,6 +51,12 @@
             : known.declared;
     }
 
+    /** A run time over the kind's learned mean; 1 while the kind is not learned, since declarations are often wrong. */
+    getSlowness(kind: string, runTime: Milliseconds): number {
+        const known = this.getKind(kind);
+        return known.samples >= samplesBeforeLearning ? runTime / Math.max(1, known.average) : 1;
+    }
+
     /** True for a kind that runs many times longer than the shortest kind. */
     isLong(kind: string): boolean {
         this.shortest ??= Math.min(...[...this.kinds.keys()].map(name => this.getExpected(name)));
--- a/packages/routing/src/ServiceSlots.ts
+++ b/packages/routing/src/ServiceSlots.ts
@@ -18,7 +18,7 @@
 import { StewardLink } from "./StewardLink";
 import type { SlotAsk } from "./stewardMessages";
 import { StewardSession } from "./StewardSession";
-import type { SlotDecision, SlotOutcomeName, WaitingRequest } from "./types";
+import type { RefusalReason, SlotDecision, SlotGranted, SlotOutcomeName, WaitingRequest } from "./types";
 
 /** A steward of a service, in this zone or another. */
 export interface StewardAddress {
@@ -47,6 +47,8 @@
     readonly getSteward: (zone: string) => StewardAddress | undefined;
     readonly getEntriesInZone: () => number;
     readonly getEntriesEverywhere: () => number;
+    /** Uses up one of the free slots that other zones reported; false when none is left. */
+    readonly takeSpareElsewhere: () => boolean;
     /** Another zone with free slots for the service. */
     readonly pickOtherZone: () => string | undefined;
     readonly connect: (address: Address) => PeerClient;
@@ -56,11 +58,15 @@
 interface HeldHere {
     readonly grant: HeldGrant;
     readonly heldSince: Milliseconds;
-    readonly release: (outcome: SlotOutcomeName, runTime: Milliseconds) => void;
+    /** Zone whose steward granted the slot; undefined for a slot of this entry's own share. */
+    readonly grantedIn: string | undefined;
 }
 
 const reconnectPauseMs = 50;
 
+/** Refusals after which one other zone is asked. */
+const triesElsewhere: ReadonlySet<RefusalReason> = new Set(["no-upstream", "deadline-out-of-reach", "try-elsewhere"]);
+
 export class ServiceSlots {
     readonly runTimes = new RunTimes();
     /** Used while this entry is the steward. */
@@ -79,8 +85,8 @@
     constructor(private readonly options: ServiceSlotsOptions) {
         const { clock, timers, logger, getTeamShare, strategy } = options;
         const shared = { clock, timers, logger, getTeamShare, runTimes: this.runTimes, policy: strategy.policy };
-        this.zoneScheduler = new SlotScheduler(shared);
-        this.ownScheduler = new SlotScheduler(shared);
+        this.zoneScheduler = new SlotScheduler({ ...shared, takeSpareElsewhere: options.takeSpareElsewhere });
+        this.ownScheduler = new SlotScheduler({ ...shared, takeSpareElsewhere: () => false });
     }
 
     get isZoneSteward(): boolean {
@@ -108,23 +114,43 @@
     /** Gets a slot or a refusal. An aborted `signal` withdraws the request. */
     async acquire(ask: SlotAsk, signal: AbortSignal): Promise<SlotDecision> {
         const deadline = this.options.clock.now() + ask.remaining;
+        let maySpill = ask.maySpill && this.options.strategy.usesSteward;
         for (;;) {
             const remaining = deadline - this.options.clock.now();
-            const decision = await this.acquireInZone({ ...ask, remaining }, signal);
+            const decision = await this.acquireInZone({ ...ask, remaining, maySpill }, signal);
             if (decision === undefined || (!decision.granted && decision.reason === "steward-unreachable")) {
                 continue;
             }
-            const mayTryElsewhere = !decision.granted && this.options.strategy.usesSteward
-                && (decision.reason === "no-upstream" || decision.reason === "deadline-out-of-reach");
-            return mayTryElsewhere ? await this.acquireElsewhere(ask, deadline, signal) ?? decision : decision;
+            if (decision.granted || !maySpill || !triesElsewhere.has(decision.reason)) {
+                return decision;
+            }
+            maySpill = false;
+            const spilled = await this.acquireElsewhere(ask, deadline, signal);
+            if (spilled) {
+                return spilled;
+            }
+            if (decision.reason !== "try-elsewhere") {
+                return decision;
+            }
         }
     }
 
-    /** Gives a slot back and tells how the exchange ended. */
+    /** Gives a slot back, to whoever is steward now, and tells how the exchange ended. */
     release(grantId: GrantId, outcome: SlotOutcomeName, runTime: Milliseconds): void {
         const held = this.held.get(grantId);
+        if (!held) {
+            return;
+        }
         this.held.delete(grantId);
-        held?.release(outcome, runTime);
+        if (held.grantedIn === undefined) {
+            this.ownScheduler.release(grantId, outcome, runTime);
+        }
+        else if (held.grantedIn === this.options.zone && this.isSteward) {
+            this.zoneScheduler.release(grantId, outcome, runTime);
+        }
+        else {
+            this.getLinkTo(held.grantedIn)?.release(grantId, outcome, runTime);
+        }
     }
 
     /** Serves another entry's stream. */
@@ -155,16 +181,17 @@
 
     /** `undefined` asks the caller to try again: the steward changed meanwhile. */
     private async acquireInZone(ask: SlotAsk, signal: AbortSignal): Promise<SlotDecision | undefined> {
-        if (this.options.strategy.usesSteward && !this.stopped) {
+        const { zone, strategy } = this.options;
+        if (strategy.usesSteward && !this.stopped) {
             if (this.isSteward) {
-                return this.acquireLocally(this.zoneScheduler, ask, signal, true);
+                return this.acquireLocally(this.zoneScheduler, ask, signal, zone);
             }
-            const link = this.getZoneLink();
+            const link = this.getLinkTo(zone);
             if (link?.isUp) {
-                return this.acquireThrough(link, ask, signal);
+                return this.acquireThrough(link, ask, signal, zone);
             }
         }
-        return this.acquireLocally(this.ownScheduler, ask, signal, false);
+        return this.acquireLocally(this.ownScheduler, ask, signal, undefined);
     }
 
     private async acquireElsewhere(
@@ -173,13 +200,12 @@
         signal: AbortSignal,
     ): Promise<SlotDecision | undefined> {
         const zone = this.options.pickOtherZone();
-        const steward = zone === undefined ? undefined : this.options.getSteward(zone);
-        const link = steward && this.getLink(steward);
-        if (!link?.isUp) {
+        const link = zone === undefined ? undefined : this.getLinkTo(zone);
+        if (zone === undefined || !link?.isUp) {
             return undefined;
         }
         const remaining = deadline - this.options.clock.now();
-        const decision = await this.acquireThrough(link, { ...ask, remaining, forwarded: true }, signal);
+        const decision = await this.acquireThrough(link, { ...ask, remaining, forwarded: true }, signal, zone);
         return decision?.granted ? decision : undefined;
     }
 
@@ -187,18 +213,11 @@
         link: StewardLink,
         ask: SlotAsk,
         signal: AbortSignal,
+        zone: string,
     ): Promise<SlotDecision | undefined> {
         const decision = await link.ask(ask, signal);
         if (decision?.granted) {
-            this.hold(decision, ask, !ask.forwarded, (outcome, runTime) => {
-                const current = ask.forwarded ? link : this.getZoneLink();
-                if (this.isSteward && !ask.forwarded) {
-                    this.zoneScheduler.release(decision.grantId, outcome, runTime);
-                }
-                else {
-                    current?.release(decision.grantId, outcome, runTime);
-                }
-            });
+            this.hold(decision, ask, zone);
         }
         return decision;
     }
@@ -207,7 +226,7 @@
         scheduler: SlotScheduler,
         ask: SlotAsk,
         signal: AbortSignal,
-        ofZone: boolean,
+        zone: string | undefined,
     ): Promise<SlotDecision | undefined> {
         const id = `local/${this.nextLocalRequest++}`;
         return new Promise(resolve => {
@@ -219,25 +238,14 @@
             scheduler.request(this.toWaitingRequest(ask, id, this.options.entryId), decision => {
                 signal.removeEventListener("abort", withdraw);
                 if (decision.granted) {
-                    this.hold(decision, ask, ofZone, (outcome, runTime) => {
-                        if (ofZone && !this.isSteward) {
-                            this.getZoneLink()?.release(decision.grantId, outcome, runTime);
-                        }
-                        scheduler.release(decision.grantId, outcome, runTime);
-                    });
+                    this.hold(decision, ask, zone);
                 }
-                const moved = !decision.granted && decision.reason === "steward-unreachable";
-                resolve(moved ? undefined : decision);
+                resolve(decision);
             });
         });
     }
 
-    private hold(
-        decision: Extract<SlotDecision, { granted: true; }>,
-        ask: SlotAsk,
-        ofZone: boolean,
-        release: HeldHere["release"],
-    ): void {
+    private hold(decision: SlotGranted, ask: SlotAsk, grantedIn: string | undefined): void {
         const grant = create(HeldGrantSchema, {
             grantId: decision.grantId,
             upstreamId: decision.upstreamId,
@@ -245,9 +253,7 @@
             team: ask.team,
             urgent: ask.urgent,
         });
-        // Only grants of the own zone's steward are reported to its successor.
-        const reported = ofZone ? grant : create(HeldGrantSchema);
-        this.held.set(decision.grantId, { grant: reported, heldSince: this.options.clock.now(), release });
+        this.held.set(decision.grantId, { grant, heldSince: this.options.clock.now(), grantedIn });
     }
 
     private toWaitingRequest(ask: SlotAsk, id: string, entryId: string): WaitingRequest {
@@ -264,6 +270,7 @@
             long: this.runTimes.isLong(ask.kind),
             excludedUpstreams: ask.excludedUpstreams,
             forwarded: ask.forwarded,
+            maySpill: ask.maySpill,
         };
     }
 
@@ -280,19 +287,27 @@
         else if (!shouldLead && this.isSteward) {
             this.layDownStewardship();
         }
+        this.closeFormerLinks(steward?.instanceId);
+        if (steward && !shouldLead) {
+            this.getLink(steward, this.options.zone);
+        }
+    }
+
+    /** Closes the stream to a former steward of this zone, which then frees what it granted here. */
+    private closeFormerLinks(stewardId: string | undefined): void {
         for (const [instanceId, link] of this.links) {
+            if (link.stewardZone === this.options.zone && instanceId !== stewardId) {
+                link.close();
+            }
             if (link.isEnded) {
                 this.links.delete(instanceId);
             }
         }
-        if (steward && !shouldLead) {
-            this.getLink(steward);
-        }
     }
 
     private takeStewardship(): void {
         this.isSteward = true;
-        this.getReportedGrants().forEach(grant =>
+        this.getGrantsOf(this.options.zone).forEach(grant =>
             this.zoneScheduler.adopt(grant.grantId as GrantId, {
                 upstreamId: grant.upstreamId,
                 entryId: this.options.entryId,
@@ -312,18 +327,20 @@
     private layDownStewardship(): void {
         this.isSteward = false;
         this.zoneScheduler.refuseAll("steward-unreachable");
+        this.zoneScheduler.forgetHeld();
         this.sessions.forEach(session => session.end());
         this.sessions.clear();
         this.options.logger.info("stewardship laid down", { service: this.options.service });
     }
 
-    private getZoneLink(): StewardLink | undefined {
-        const steward = this.options.getSteward(this.options.zone);
-        return steward && steward.instanceId !== this.options.entryId ? this.getLink(steward) : undefined;
+    /** The stream to the steward of a zone; undefined while there is none, or when it is this entry. */
+    private getLinkTo(zone: string): StewardLink | undefined {
+        const steward = this.options.getSteward(zone);
+        return steward && steward.instanceId !== this.options.entryId ? this.getLink(steward, zone) : undefined;
     }
 
     /** The stream to a steward, opened again when it ended, after a short pause. */
-    private getLink(steward: StewardAddress): StewardLink | undefined {
+    private getLink(steward: StewardAddress, stewardZone: string): StewardLink | undefined {
         const present = this.links.get(steward.instanceId);
         if (present && !present.isEnded) {
             return present;
@@ -342,8 +359,9 @@
             timers,
             logger,
             stewardId: steward.instanceId,
+            stewardZone,
             peer: this.options.connect(steward.address),
-            getHeldGrants: () => this.getReportedGrants(),
+            getHeldGrants: () => this.getGrantsOf(stewardZone),
             onMessage: () => this.options.onMessage("steward-request"),
             onUnwanted: grantId => logger.debug("grant came too late", { grantId }),
         });
@@ -352,9 +370,10 @@
         return link;
     }
 
-    private getReportedGrants(): readonly HeldGrant[] {
+    /** Grants held here that a zone's steward gave, for its successor. */
+    private getGrantsOf(zone: string): readonly HeldGrant[] {
         const now = this.options.clock.now();
-        return [...this.held.values()].filter(item => item.grant.grantId !== "").map(item =>
+        return [...this.held.values()].filter(item => item.grantedIn === zone).map(item =>
             create(HeldGrantSchema, { ...item.grant, heldMs: now - item.heldSince })
         );
     }
--- a/packages/routing/src/SlotScheduler.ts
+++ b/packages/routing/src/SlotScheduler.ts
@@ -21,11 +21,13 @@
     AdmissionView,
     Admit,
     ChooseUpstream,
+    DecisionListener,
     GetOrderKey,
+    HeldSlot,
     RefusalReason,
     SlotDecision,
     SlotOutcomeName,
-    UpstreamView,
+    UpstreamSlots,
     WaitingRequest,
 } from "./types";
 import { UpstreamHealth } from "./UpstreamHealth";
@@ -47,27 +49,8 @@
     readonly policy: SchedulingPolicy;
     /** Largest share of the slots that a team may hold while others wait. */
     readonly getTeamShare: (team: string) => number;
-}
-
-/** Takes the decision on one request. */
-export type DecisionListener = (decision: SlotDecision) => void;
-
-/** A slot that is in use. */
-export interface HeldSlot {
-    readonly upstreamId: string;
-    readonly entryId: string;
-    readonly kind: string;
-    readonly team: string;
-    readonly urgent: boolean;
-    readonly short: boolean;
-}
-
-/** What may be announced about an upstream. */
-export interface UpstreamSlots {
-    readonly id: string;
-    readonly address: UpstreamView["address"];
-    readonly slots: number;
-    readonly connectionsPerEntry: number;
+    /** Uses up one of the free slots that other zones reported; false when none is left. */
+    readonly takeSpareElsewhere: () => boolean;
 }
 
 interface UpstreamState extends UpstreamSlots {
@@ -75,7 +58,7 @@
     readonly heldByEntry: Map<string, number>;
 }
 
-const expiryPeriodMs = 5;
+const expiryPeriodMs = 10;
 
 /** Requests that none of the free slots suits, passed over in one go. */
 const maximumSetAside = 8;
@@ -93,14 +76,14 @@
     private paused = false;
     private readonly grantPrefix = newUniqueText();
     private nextGrant = 0;
-    private readonly unsubscribe: Unsubscribe;
+    private unsubscribe: Unsubscribe = () => undefined;
+    private expiryPlanned = false;
 
     constructor(private readonly options: SlotSchedulerOptions) {
         this.health = new UpstreamHealth(options.clock);
         this.queue = new RequestQueue(options.policy.getOrderKey);
         this.shortInUse = new SmoothedCount(options.clock, usageSmoothingMs);
         this.urgentInUse = new SmoothedCount(options.clock, usageSmoothingMs);
-        this.unsubscribe = options.timers.every(expiryPeriodMs, () => this.expire());
     }
 
     /** Slots of healthy upstreams. */
@@ -155,13 +138,15 @@
             listener(this.newRefusal(reason));
             return;
         }
-        if (request.forwarded && (this.paused || this.queue.size > 0 || this.freeSlots <= this.getHeadroom(request))) {
-            listener(this.newRefusal("deadline-out-of-reach"));
+        const mustWait = this.paused || this.queue.size > 0 || this.freeSlots <= this.getHeadroom(request);
+        if (mustWait && (request.forwarded || (request.maySpill && this.options.takeSpareElsewhere()))) {
+            listener(this.newRefusal("try-elsewhere"));
             return;
         }
         this.queue.add(request);
         this.listeners.set(request.id, listener);
         this.serve();
+        this.planExpiry();
     }
 
     /** Withdraws a waiting request without a decision. */
@@ -203,6 +188,11 @@
         this.serve();
     }
 
+    /** Forgets every slot in use: another steward counts them from now on. */
+    forgetHeld(): void {
+        this.held.forEach((slot, grantId) => this.drop(grantId, slot));
+    }
+
     stop(): void {
         this.unsubscribe();
         this.refuseAll("shutting-down");
@@ -360,8 +350,7 @@
     private learn(slot: HeldSlot, outcome: SlotOutcomeName, runTime: Milliseconds): void {
         switch (outcome) {
             case "answered": {
-                const expected = this.options.runTimes.getExpected(slot.kind);
-                this.health.noteAnswer(slot.upstreamId, runTime / Math.max(1, expected));
+                this.health.noteAnswer(slot.upstreamId, this.options.runTimes.getSlowness(slot.kind, runTime));
                 this.options.runTimes.record(slot.kind, runTime);
                 return;
             }
@@ -375,11 +364,20 @@
         }
     }
 
+    /** Looks at waiting requests again soon; nothing is planned while none waits. */
+    private planExpiry(): void {
+        if (this.queue.size > 0 && !this.expiryPlanned) {
+            this.expiryPlanned = true;
+            this.unsubscribe = this.options.timers.after(expiryPeriodMs, () => {
+                this.expiryPlanned = false;
+                this.expire();
+                this.planExpiry();
+            });
+        }
+    }
+
     /** Refuses requests that can no longer meet their deadline, and serves those whose patience ran out. */
     private expire(): void {
-        if (this.queue.size === 0) {
-            return;
-        }
         const now = this.options.clock.now();
         for (const request of this.queue.getAll()) {
             if (now > request.deadline) {
--- a/packages/routing/src/StewardLink.ts
+++ b/packages/routing/src/StewardLink.ts
@@ -16,6 +16,7 @@
 export interface StewardLinkOptions {
     readonly service: string;
     readonly stewardId: string;
+    readonly stewardZone: string;
     readonly entryId: string;
     readonly zone: string;
     readonly peer: PeerClient;
@@ -48,6 +49,10 @@
         return this.options.stewardId;
     }
 
+    get stewardZone(): string {
+        return this.options.stewardZone;
+    }
+
     /** True while the steward answers on this stream. */
     get isUp(): boolean {
         return this.accepted && !this.ended;
@@ -88,6 +93,7 @@
             remainingMs: ask.remaining,
             excludedUpstreams: [...ask.excludedUpstreams],
             forwarded: ask.forwarded,
+            maySpill: ask.maySpill,
         }));
         const withdraw = () => {
             this.pending.delete(sequence);
--- a/packages/routing/src/outcomes.ts
+++ b/packages/routing/src/outcomes.ts
@@ -66,6 +66,7 @@
         detail: "no slot became free in time",
     },
     "queue-full": { status: 503, title: "Overloaded", detail: "too many bytes wait in this instance" },
+    "try-elsewhere": { status: 503, title: "Overloaded", detail: "no slot is free in this zone" },
     "steward-unreachable": { status: 503, title: "No slot decision", detail: "the service's steward did not answer" },
     "shutting-down": { status: 503, title: "Shutting down", detail: "this instance takes no new work" },
     "caller-left": { status: 499, title: "Caller went away", detail: "the caller closed the connection" },
--- a/packages/routing/src/stewardMessages.ts
+++ b/packages/routing/src/stewardMessages.ts
@@ -38,6 +38,7 @@
     readonly remaining: Milliseconds;
     readonly excludedUpstreams: readonly string[];
     readonly forwarded: boolean;
+    readonly maySpill: boolean;
 }
 
 export const toSlotAsk = (message: SlotRequest): SlotAsk => ({
@@ -48,6 +49,7 @@
     remaining: message.remainingMs,
     excludedUpstreams: message.excludedUpstreams,
     forwarded: message.forwarded,
+    maySpill: message.maySpill,
 });
 
 export const toGrantMessage = (sequence: bigint, decision: Extract<SlotDecision, { granted: true; }>): SlotGrant =>
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -21,6 +21,8 @@
     readonly excludedUpstreams: readonly string[];
     /** From another zone: served at once or refused. */
     readonly forwarded: boolean;
+    /** May be told to try another zone instead of waiting here. */
+    readonly maySpill: boolean;
 }
 
 export type RefusalReason =
@@ -29,6 +31,7 @@
     | "deadline-passed"
     | "queue-full"
     | "steward-unreachable"
+    | "try-elsewhere"
     | "shutting-down"
     | "caller-left";
 
@@ -78,3 +81,25 @@
 
 /** Smaller keys are served first within a class. */
 export type GetOrderKey = (request: WaitingRequest) => number;
+
+/** Takes the decision on one request. */
+export type DecisionListener = (decision: SlotDecision) => void;
+
+/** A slot that is in use. */
+export interface HeldSlot {
+    readonly upstreamId: string;
+    readonly entryId: string;
+    readonly kind: string;
+    readonly team: string;
+    readonly urgent: boolean;
+    /** Urgent work of a kind that does not run long. */
+    readonly short: boolean;
+}
+
+/** What the scheduler is told about an announced upstream. */
+export interface UpstreamSlots {
+    readonly id: string;
+    readonly address: Address;
+    readonly slots: number;
+    readonly connectionsPerEntry: number;
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -34,6 +34,8 @@
         anvilmux: "anvilmux-daemon/src/main.ts",
         library: "packages/anvilmux/src/index.ts",
         bench: "bench/src/main.ts",
+        probe: "bench/src/probe.ts",
+        idle: "bench/src/idle.ts",
     },
     outdir: "dist",
     bundle: true,
--- /dev/null
+++ b/stand-ins/src/LoadGenerator.ts
@@ -0,0 +1,142 @@
+/**
+ * Open-loop load: requests leave on schedule whether or not earlier ones were answered, so that waiting is counted.
+ */
+
+import { newRandom, sampleExponential } from "@anvilmux/common";
+import type { Milliseconds, Random } from "@anvilmux/common";
+import { Pool } from "undici";
+import { runTimeHeader, workIdHeader } from "./StandInUpstream";
+
+/** One kind of work in the mix. */
+export interface LoadKind {
+    readonly kind: string;
+    /** Share of the requests, in proportion to the other kinds' shares. */
+    readonly share: number;
+    /** Run time of one request. */
+    readonly sampleRun: (random: Random) => Milliseconds;
+    readonly keyed?: boolean;
+}
+
+export interface LoadProfile {
+    readonly service: string;
+    readonly token: string;
+    readonly kinds: readonly LoadKind[];
+    readonly duration: Milliseconds;
+    /** Requests a second at a time since the start. */
+    readonly getRate: (elapsed: Milliseconds) => number;
+    readonly seed: number;
+}
+
+export type LoadOutcome = "answered" | "not-run" | "unknown" | "error";
+
+/** What became of one request. */
+export interface LoadRecord {
+    readonly workId: string;
+    readonly kind: string;
+    readonly run: Milliseconds;
+    /** Since the start of the load. */
+    readonly scheduledAt: Milliseconds;
+    readonly latency: Milliseconds;
+    readonly status: number;
+    readonly outcome: LoadOutcome;
+}
+
+const connectionsPerEntry = 256;
+
+export class LoadGenerator {
+    private readonly pools: readonly Pool[];
+    private nextWork = 0;
+
+    /** `entries` are public addresses; requests go to them in turn, as a balancer would send them. */
+    constructor(private readonly entries: readonly string[], private readonly prefix = "work") {
+        this.pools = entries.map(entry =>
+            new Pool(`http://${entry}`, {
+                connections: connectionsPerEntry,
+                pipelining: 1,
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            })
+        );
+    }
+
+    /** Sends the profile's load and waits for every answer. */
+    async run(profile: LoadProfile): Promise<readonly LoadRecord[]> {
+        const random = newRandom(profile.seed);
+        const startedAt = performance.now();
+        const records: Promise<LoadRecord>[] = [];
+        let dueAt = 0;
+        while (dueAt < profile.duration) {
+            const elapsed = performance.now() - startedAt;
+            if (dueAt > elapsed) {
+                await new Promise(resolve => setTimeout(resolve, Math.max(0, dueAt - elapsed - 0.5)));
+            }
+            while (dueAt <= performance.now() - startedAt && dueAt < profile.duration) {
+                records.push(this.send(profile, pickKind(profile.kinds, random), random, startedAt, dueAt));
+                dueAt += sampleExponential(random, 1_000 / profile.getRate(dueAt));
+            }
+        }
+        return Promise.all(records);
+    }
+
+    /** Sends one request and waits for its answer. */
+    private async send(
+        profile: LoadProfile,
+        kind: LoadKind,
+        random: Random,
+        startedAt: number,
+        scheduledAt: Milliseconds,
+    ): Promise<LoadRecord> {
+        const run = kind.sampleRun(random);
+        const workId = `${this.prefix}-${this.nextWork++}`;
+        const pool = this.pools[this.nextWork % this.pools.length]!;
+        const finish = (status: number, outcome: LoadOutcome): LoadRecord => ({
+            workId,
+            kind: kind.kind,
+            run,
+            scheduledAt,
+            latency: performance.now() - startedAt - scheduledAt,
+            status,
+            outcome,
+        });
+        try {
+            const response = await pool.request({
+                method: "POST",
+                path: `/v1/services/${profile.service}/${kind.kind}`,
+                headers: {
+                    authorization: `Bearer ${profile.token}`,
+                    [runTimeHeader]: String(run),
+                    [workIdHeader]: workId,
+                    ...(kind.keyed ? { "idempotency-key": workId } : {}),
+                },
+                body: workId,
+            });
+            const body = await response.body.text();
+            const outcome = String(response.headers["anvilmux-outcome"]) as LoadOutcome;
+            const isWrong = outcome === "answered" && response.statusCode === 200 && !body.includes(`"${workId}"`);
+            return finish(response.statusCode, isWrong ? "error" : outcome);
+        }
+        catch {
+            return finish(0, "error");
+        }
+    }
+
+    get entryCount(): number {
+        return this.entries.length;
+    }
+
+    async close(): Promise<void> {
+        await Promise.all(this.pools.map(pool => pool.destroy()));
+    }
+}
+
+const pickKind = (kinds: readonly LoadKind[], random: Random): LoadKind => {
+    const total = kinds.reduce((sum, kind) => sum + kind.share, 0);
+    let rest = random.next() * total;
+    for (const kind of kinds) {
+        rest -= kind.share;
+        if (rest < 0) {
+            return kind;
+        }
+    }
+    return kinds.at(-1)!;
+};
--- a/stand-ins/src/StandInUpstream.ts
+++ b/stand-ins/src/StandInUpstream.ts
@@ -68,7 +68,12 @@
     async listen(): Promise<string> {
         const host = this.options.host ?? "127.0.0.1";
         await new Promise<void>(resolve => this.server.listen(this.options.port ?? 0, host, resolve));
-        return `${host}:${(this.server.address() as AddressInfo).port}`;
+        return this.getAddress();
+    }
+
+    /** Host and port once it listens. */
+    getAddress(): string {
+        return `${this.options.host ?? "127.0.0.1"}:${(this.server.address() as AddressInfo).port}`;
     }
 
     async close(): Promise<void> {
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 /** Stand-ins for what anvilmux serves: upstreams, workers and their announcements. */
 export * from "./Announcer";
+export * from "./LoadGenerator";
 export * from "./StandInUpstream";
 export * from "./StandInWorker";
