--- a/packages/anvilmux/src/http/body.ts
+++ b/packages/anvilmux/src/http/body.ts
@@ -10,36 +10,42 @@
 export class BodyReader {
     private heldBytes = 0;
 
-    /** Reads a body whole. Throws `BodyError` with code `too-large`, `busy` or `cut-off`. */
-    async read(request: IncomingMessage, limit: number): Promise<Buffer> {
-        const declared = Number(request.headers["content-length"] ?? 0);
-        if (declared > limit) {
-            throw new BodyError("too-large", `the body exceeds ${limit} bytes`);
-        }
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        try {
-            for await (const chunk of request as AsyncIterable<Buffer>) {
+    /** Reads a body whole. Rejects with `BodyError` with code `too-large`, `busy` or `cut-off`. */
+    read(request: IncomingMessage, limit: number): Promise<Buffer> {
+        return new Promise((resolve, reject) => {
+            const chunks: Buffer[] = [];
+            let bytes = 0;
+            const fail = (code: string, message: string) => {
+                this.heldBytes -= bytes;
+                bytes = 0;
+                request.removeAllListeners("data");
+                request.removeAllListeners("end");
+                request.resume();
+                reject(new BodyError(code, message));
+            };
+            if (Number(request.headers["content-length"] ?? 0) > limit) {
+                fail("too-large", `the body exceeds ${limit} bytes`);
+                return;
+            }
+            request.on("data", (chunk: Buffer) => {
                 bytes += chunk.length;
                 this.heldBytes += chunk.length;
+                chunks.push(chunk);
                 if (bytes > limit) {
-                    throw new BodyError("too-large", `the body exceeds ${limit} bytes`);
+                    fail("too-large", `the body exceeds ${limit} bytes`);
                 }
-                if (this.heldBytes > maximumQueuedBytes) {
-                    throw new BodyError("busy", "too many request bytes are held already");
+                else if (this.heldBytes > maximumQueuedBytes) {
+                    fail("busy", "too many request bytes are held already");
                 }
-                chunks.push(chunk);
-            }
-        }
-        catch (error) {
-            this.heldBytes -= bytes;
-            throw error instanceof BodyError ? error : new BodyError("cut-off", "the body ended early", error);
-        }
-        if (!request.complete) {
-            this.heldBytes -= bytes;
-            throw new BodyError("cut-off", "the body ended early");
-        }
-        return Buffer.concat(chunks, bytes);
+            });
+            request.on("end", () => resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, bytes)));
+            request.on("error", () => fail("cut-off", "the body ended early"));
+            request.on("close", () => {
+                if (!request.complete) {
+                    fail("cut-off", "the body ended early");
+                }
+            });
+        });
     }
 
     /** Notes that a body read before is no longer held. */
--- a/packages/anvilmux/src/http/callRoutes.ts
+++ b/packages/anvilmux/src/http/callRoutes.ts
@@ -1,6 +1,6 @@
 /** Service calls: `ANY /v1/services/{service}/{kind}/...`. */
 
-import { getSha256, newUniqueText } from "@anvilmux/common";
+import { getSha256, newSequentialId } from "@anvilmux/common";
 import type { Configuration } from "@anvilmux/control";
 import type { Kernel } from "@anvilmux/kernel";
 import type { Caller, WorkKind } from "@anvilmux/manifest";
@@ -46,7 +46,7 @@
     request: CallRequest,
     response: ServerResponse,
 ): Promise<void> => {
-    const requestId = newUniqueText();
+    const requestId = newSequentialId();
     const startedAt = kernel.get(clockToken).now();
     const allowed = checkCall(kernel, request);
     if ("status" in allowed) {
@@ -64,7 +64,11 @@
         "anvilmux.kind": allowed.kind.name,
     });
     const caller = new AbortController();
-    response.on("close", () => caller.abort());
+    response.on("close", () => {
+        if (!response.writableFinished) {
+            caller.abort();
+        }
+    });
     const answer = await kernel.get(callsToken).handle({
         requestId,
         service: request.params.service,
--- a/packages/routing/src/CallHandler.ts
+++ b/packages/routing/src/CallHandler.ts
@@ -163,15 +163,19 @@
         return { outcome, answer: { ...answer, headers } };
     }
 
+    /** Attempts until one needs no other. Once an attempt may have run, a later refusal cannot say "not run". */
     private async handleUnclaimed(call: Call, signal: AbortSignal): Promise<AttemptEnd> {
         const excluded: string[] = [];
+        let earlier: AttemptEnd | undefined;
         for (let attempt = 1;; attempt++) {
             const end = await this.attempt(call, excluded, signal);
+            const told = end.outcome === "not-run" && earlier ? earlier : end;
             if (
                 !end.retryable || attempt >= maximumAttempts || signal.aborted || !this.getBudget(call.service).take()
             ) {
-                return end;
+                return told;
             }
+            earlier = told.outcome === "not-run" ? earlier : told;
             this.options.metrics.count("anvilmux_retries_total", { service: call.service });
             excluded.push(end.upstreamId!);
         }
--- a/packages/routing/src/RequestQueue.ts
+++ b/packages/routing/src/RequestQueue.ts
@@ -19,11 +19,17 @@
 
 interface ClassQueue {
     readonly teams: Map<string, TinyQueue<Item>>;
-    work: Milliseconds;
+    /** Expected run time of waiting requests by work kind. */
+    readonly workByKind: Map<string, KindWork>;
     count: number;
 }
 
-const newClassQueue = (): ClassQueue => ({ teams: new Map(), work: 0, count: 0 });
+interface KindWork {
+    work: Milliseconds;
+    expectedRun: Milliseconds;
+}
+
+const newClassQueue = (): ClassQueue => ({ teams: new Map(), workByKind: new Map(), count: 0 });
 
 export class RequestQueue {
     private readonly classes: Readonly<Record<RequestClass, ClassQueue>> = {
@@ -42,9 +48,23 @@
         return this.classes[name].count;
     }
 
-    /** Expected run time of the class's waiting requests. */
-    getWork(name: RequestClass): Milliseconds {
-        return this.classes[name].work;
+    /** Expected run time of all waiting requests. */
+    getWork(): Milliseconds {
+        return [...this.classes.urgent.workByKind.values(), ...this.classes.other.workByKind.values()]
+            .reduce((sum, kind) => sum + kind.work, 0);
+    }
+
+    /** Expected run time of the waiting requests that go before `request`. */
+    getWorkAhead(request: WaitingRequest): Milliseconds {
+        const name = getRequestClass(request);
+        let work = 0;
+        for (const kind of this.classes[name].workByKind.values()) {
+            work += kind.expectedRun <= request.expectedRun ? kind.work : 0;
+        }
+        if (name === "other") {
+            this.classes.urgent.workByKind.forEach(kind => work += kind.work);
+        }
+        return work;
     }
 
     add(request: WaitingRequest): void {
@@ -56,7 +76,7 @@
             queue.teams.set(request.team, heap);
         }
         heap.push(item);
-        queue.work += request.expectedRun;
+        this.countWork(queue, request, 1);
         queue.count += 1;
         this.items.set(request.id, item);
     }
@@ -69,12 +89,19 @@
         }
         const queue = this.classes[getRequestClass(item.request)];
         item.removed = true;
-        queue.work = Math.max(0, queue.work - item.request.expectedRun);
+        this.countWork(queue, item.request, -1);
         queue.count -= 1;
         this.items.delete(id);
         return item.request;
     }
 
+    private countWork(queue: ClassQueue, request: WaitingRequest, sign: 1 | -1): void {
+        const known = queue.workByKind.get(request.kind) ?? { work: 0, expectedRun: request.expectedRun };
+        known.work = Math.max(0, known.work + sign * request.expectedRun);
+        known.expectedRun = request.expectedRun;
+        queue.workByKind.set(request.kind, known);
+    }
+
     /** The request to serve next in a class. `isOverShare` tells which teams yield to others. */
     peek(name: RequestClass, isOverShare: (team: string) => boolean): WaitingRequest | undefined {
         let best: Item | undefined;
--- a/packages/routing/src/ServiceSlots.ts
+++ b/packages/routing/src/ServiceSlots.ts
@@ -11,7 +11,7 @@
 import type { Logger } from "@anvilmux/telemetry";
 import type { PeerClient } from "@anvilmux/transport";
 import { create } from "@bufbuild/protobuf";
-import { orphanedGrantMs, stewardSettleMs } from "./constants";
+import { orphanedGrantMs, plannedRunPercentile, stewardSettleMs } from "./constants";
 import { RunTimes } from "./RunTimes";
 import { SlotScheduler } from "./SlotScheduler";
 import type { SchedulingPolicy } from "./SlotScheduler";
@@ -267,6 +267,7 @@
             enqueuedAt: now,
             deadline: now + ask.remaining,
             expectedRun: this.runTimes.getExpected(ask.kind),
+            plannedRun: this.runTimes.getPercentile(ask.kind, plannedRunPercentile),
             long: this.runTimes.isLong(ask.kind),
             excludedUpstreams: ask.excludedUpstreams,
             forwarded: ask.forwarded,
--- a/packages/routing/src/SlotScheduler.ts
+++ b/packages/routing/src/SlotScheduler.ts
@@ -12,11 +12,10 @@
     headroomDeviations,
     headroomPatience,
     maximumHeadroomShare,
-    usageSmoothingMs,
 } from "./constants";
 import { getRequestClass, RequestQueue } from "./RequestQueue";
 import type { RunTimes } from "./RunTimes";
-import { SmoothedCount } from "./SmoothedCount";
+import { SlotUsage } from "./SlotUsage";
 import type {
     AdmissionView,
     Admit,
@@ -60,6 +59,8 @@
 
 const expiryPeriodMs = 10;
 
+const shortestRetryAfterMs = 50;
+
 /** Requests that none of the free slots suits, passed over in one go. */
 const maximumSetAside = 8;
 
@@ -70,8 +71,7 @@
     private upstreams = new Map<string, UpstreamState>();
     private readonly held = new Map<GrantId, HeldSlot>();
     private readonly heldByTeam = new Map<string, number>();
-    private readonly shortInUse: SmoothedCount;
-    private readonly urgentInUse: SmoothedCount;
+    private readonly usage: SlotUsage;
     private grantsSinceAged = 0;
     private paused = false;
     private readonly grantPrefix = newUniqueText();
@@ -82,8 +82,7 @@
     constructor(private readonly options: SlotSchedulerOptions) {
         this.health = new UpstreamHealth(options.clock);
         this.queue = new RequestQueue(options.policy.getOrderKey);
-        this.shortInUse = new SmoothedCount(options.clock, usageSmoothingMs);
-        this.urgentInUse = new SmoothedCount(options.clock, usageSmoothingMs);
+        this.usage = new SlotUsage(options.clock, options.runTimes);
     }
 
     /** Slots of healthy upstreams. */
@@ -133,7 +132,7 @@
 
     /** Asks for a slot; the decision comes now or later, once. */
     request(request: WaitingRequest, listener: DecisionListener): void {
-        const reason = this.options.policy.admit(request, this.getView());
+        const reason = this.options.policy.admit(request, this.getView(request));
         if (reason) {
             listener(this.newRefusal(reason));
             return;
@@ -198,14 +197,13 @@
         this.refuseAll("shutting-down");
     }
 
-    private getView(): AdmissionView {
+    private getView(request: WaitingRequest): AdmissionView {
         return {
             now: this.options.clock.now(),
             totalSlots: this.totalSlots,
             freeSlots: this.freeSlots,
-            urgentWork: this.queue.getWork("urgent"),
-            otherWork: this.queue.getWork("other"),
-            urgentSlots: this.urgentInUse.average,
+            workAhead: this.queue.getWorkAhead(request),
+            overtakingSlots: this.usage.getOvertaking(request),
             waiting: this.queue.size,
         };
     }
@@ -218,7 +216,7 @@
             if (!request) {
                 break;
             }
-            if (this.options.clock.now() + request.expectedRun > request.deadline) {
+            if (this.options.clock.now() + request.plannedRun > request.deadline) {
                 this.refuse(request, "deadline-passed");
                 continue;
             }
@@ -257,7 +255,7 @@
             return 0;
         }
         const wanted = Math.min(
-            headroomDeviations * Math.sqrt(this.shortInUse.average),
+            headroomDeviations * Math.sqrt(this.usage.averageShort),
             this.totalSlots * maximumHeadroomShare,
         );
         const waited = this.options.clock.now() - request.enqueuedAt;
@@ -322,8 +320,8 @@
     }
 
     private newRefusal(reason: RefusalReason): SlotDecision {
-        const work = this.queue.getWork("urgent") + this.queue.getWork("other");
-        return { granted: false, reason, retryAfter: Math.max(50, work / Math.max(1, this.totalSlots)) };
+        const wait = this.queue.getWork() / Math.max(1, this.totalSlots);
+        return { granted: false, reason, retryAfter: Math.max(shortestRetryAfterMs, wait) };
     }
 
     private hold(grantId: GrantId, slot: HeldSlot): void {
@@ -343,8 +341,7 @@
             upstream.heldByEntry.set(slot.entryId, (upstream.heldByEntry.get(slot.entryId) ?? 0) + change);
         }
         this.heldByTeam.set(slot.team, (this.heldByTeam.get(slot.team) ?? 0) + change);
-        this.shortInUse.add(slot.short ? change : 0);
-        this.urgentInUse.add(slot.urgent ? change : 0);
+        this.usage.count(slot, change);
     }
 
     private learn(slot: HeldSlot, outcome: SlotOutcomeName, runTime: Milliseconds): void {
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,5 +1,6 @@
 /** Ways of deciding whether a request is taken: the default and baselines. */
 
+import { admittedWaitShare, minimumServingSlots } from "./constants";
 import type { Admit } from "./types";
 
 /** Takes what can probably start in time, given the work ahead of it, and refuses the rest at once. */
@@ -7,17 +8,15 @@
     if (view.totalSlots === 0) {
         return "no-upstream";
     }
-    const budget = request.deadline - view.now - request.expectedRun;
+    const budget = request.deadline - view.now - request.plannedRun;
     if (budget < 0) {
         return "deadline-out-of-reach";
     }
     if (view.freeSlots > view.waiting) {
         return undefined;
     }
-    const wait = request.urgent
-        ? view.urgentWork / view.totalSlots
-        : (view.urgentWork + view.otherWork) / Math.max(1, view.totalSlots - view.urgentSlots);
-    return wait > budget ? "deadline-out-of-reach" : undefined;
+    const slots = Math.max(minimumServingSlots, view.totalSlots - view.overtakingSlots);
+    return view.workAhead / slots > budget * admittedWaitShare ? "deadline-out-of-reach" : undefined;
 };
 
 /** Takes everything while there is an upstream. */
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -16,6 +16,8 @@
     readonly enqueuedAt: Milliseconds;
     readonly deadline: Milliseconds;
     readonly expectedRun: Milliseconds;
+    /** Run time that nearly all requests of the kind stay below. */
+    readonly plannedRun: Milliseconds;
     /** True when learned run times say that the kind runs long. */
     readonly long: boolean;
     readonly excludedUpstreams: readonly string[];
@@ -68,11 +70,10 @@
     readonly now: Milliseconds;
     readonly totalSlots: number;
     readonly freeSlots: number;
-    /** Expected run time of the requests waiting, in slot milliseconds, by class. */
-    readonly urgentWork: Milliseconds;
-    readonly otherWork: Milliseconds;
-    /** Slots that urgent work holds on average. */
-    readonly urgentSlots: number;
+    /** Expected run time of the waiting requests that would be served before this one, in slot milliseconds. */
+    readonly workAhead: Milliseconds;
+    /** Slots held, on average, by work that goes before this request even when it comes later. */
+    readonly overtakingSlots: number;
     readonly waiting: number;
 }
 
--- a/stand-ins/src/LoadGenerator.ts
+++ b/stand-ins/src/LoadGenerator.ts
@@ -44,20 +44,11 @@
 const connectionsPerEntry = 256;
 
 export class LoadGenerator {
-    private readonly pools: readonly Pool[];
+    private readonly pools = new Map<string, Pool>();
     private nextWork = 0;
 
-    /** `entries` are public addresses; requests go to them in turn, as a balancer would send them. */
-    constructor(private readonly entries: readonly string[], private readonly prefix = "work") {
-        this.pools = entries.map(entry =>
-            new Pool(`http://${entry}`, {
-                connections: connectionsPerEntry,
-                pipelining: 1,
-                headersTimeout: 0,
-                bodyTimeout: 0,
-            })
-        );
-    }
+    /** Requests go in turn to the public addresses that `getEntries` gives, as a balancer would send them. */
+    constructor(private readonly getEntries: () => readonly string[], private readonly prefix = "work") {}
 
     /** Sends the profile's load and waits for every answer. */
     async run(profile: LoadProfile): Promise<readonly LoadRecord[]> {
@@ -88,7 +79,8 @@
     ): Promise<LoadRecord> {
         const run = kind.sampleRun(random);
         const workId = `${this.prefix}-${this.nextWork++}`;
-        const pool = this.pools[this.nextWork % this.pools.length]!;
+        const entries = this.getEntries();
+        const pool = this.getPool(entries[this.nextWork % entries.length]!);
         const finish = (status: number, outcome: LoadOutcome): LoadRecord => ({
             workId,
             kind: kind.kind,
@@ -120,12 +112,22 @@
         }
     }
 
-    get entryCount(): number {
-        return this.entries.length;
+    async close(): Promise<void> {
+        await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
     }
 
-    async close(): Promise<void> {
-        await Promise.all(this.pools.map(pool => pool.destroy()));
+    private getPool(entry: string): Pool {
+        let pool = this.pools.get(entry);
+        if (!pool) {
+            pool = new Pool(`http://${entry}`, {
+                connections: connectionsPerEntry,
+                pipelining: 1,
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            });
+            this.pools.set(entry, pool);
+        }
+        return pool;
     }
 }
 
