--- /dev/null
+++ b/bench/src/benches/partition.ts
@@ -0,0 +1,105 @@
+/** A zone cut off from the others and healed again, in one process over loopback sockets. */
+
+import { networkToken, newSystemEnvironment } from "@anvilmux/anvilmux";
+import { LoadGenerator } from "@anvilmux/stand-ins";
+import type { LoadRecord } from "@anvilmux/stand-ins";
+import { Deployment } from "../../../anvilmux-daemon/src/Deployment";
+import { benchManifest, callerToken, service, shortUrgent, zones } from "../requestPath";
+import { round } from "../statistics";
+import type { Bench } from "../types";
+
+const upstreamsPerZone = 4;
+const slots = 8;
+const load = 0.5;
+const cutAtMs = 4_000;
+const healAtMs = 16_000;
+const endMs = 22_000;
+const keyedShare = 0.05;
+
+export const partition: Bench = {
+    name: "partition",
+    description: "each zone's own work while one zone is cut off, and nothing doubled at healing",
+    run: async seed => {
+        let isCut = false;
+        const cutZone = zones[2];
+        let zoneOfAddress: ReadonlyMap<string, string> = new Map();
+        const deployment: Deployment = new Deployment({
+            zones,
+            entriesPerZone: 2,
+            upstreamsPerZone,
+            slotsPerUpstream: slots,
+            workersPerZone: 0,
+            processorsPerWorker: 1,
+            service,
+            getEnvironment: id => ({
+                ...newSystemEnvironment(),
+                isReachable: address =>
+                    !isCut || (zoneOfAddress.get(address) === cutZone) === (deployment.getZone(id) === cutZone),
+            }),
+        });
+        await deployment.start();
+        zoneOfAddress = new Map(deployment.getIds().map(id => [deployment.getPeerAddress(id), deployment.getZone(id)]));
+        await deployment.submitManifest(benchManifest(1));
+        await deployment.waitUntilReady();
+        const setCut = (cut: boolean) => {
+            isCut = cut;
+            // Connections that are open across the cut end with it.
+            deployment.instances.forEach(instance => instance.kernel.get(networkToken).close());
+        };
+        const timers = [setTimeout(() => setCut(true), cutAtMs), setTimeout(() => setCut(false), healAtMs)];
+        const rate = load * upstreamsPerZone * slots * 1_000 / 100;
+        const records = (await Promise.all(zones.map(async zone => {
+            const generator = new LoadGenerator(
+                () => deployment.getIds(zone).map(id => deployment.getPublicAddress(id)),
+                zone,
+            );
+            const ofZone = await generator.run({
+                service,
+                token: callerToken,
+                seed,
+                duration: endMs,
+                kinds: [
+                    shortUrgent("screen", 1 - keyedShare),
+                    { ...shortUrgent("dispatch", keyedShare), keyed: true },
+                ],
+                getRate: () => rate,
+            });
+            await generator.close();
+            return ofZone.map(record => ({ ...record, zone }));
+        }))).flat();
+        timers.forEach(clearTimeout);
+        const starts = new Map<string, number>();
+        deployment.upstreams.forEach(({ standIn }) =>
+            standIn.starts.forEach((count, id) => starts.set(id, (starts.get(id) ?? 0) + count))
+        );
+        await deployment.stop();
+        const during = records.filter(record => record.scheduledAt > cutAtMs && record.scheduledAt < healAtMs);
+        const isServed = (record: LoadRecord) => record.outcome === "answered" && record.status === 200;
+        const served = (some: readonly LoadRecord[]) =>
+            round(some.filter(isServed).length / Math.max(1, some.length), 4);
+        const ofZone = (zone: string) => during.filter(record => record.zone === zone && record.kind === "screen");
+        const keyedInCut = during.filter(record => record.zone === cutZone && record.kind === "dispatch");
+        const after = records.filter(record => record.scheduledAt > healAtMs + 2_000);
+        return {
+            metrics: {
+                servedInCutZone: served(ofZone(cutZone)),
+                servedInOtherZones: served([...ofZone(zones[0]), ...ofZone(zones[1])]),
+                keyedRefusedInCutZone: keyedInCut.filter(record => record.outcome === "not-run").length,
+                keyedFalseNotRun:
+                    records.filter(record => record.outcome === "not-run" && starts.has(record.workId)).length,
+                keyedOtherZonesServed: served(during.filter(item => item.zone !== cutZone && item.kind === "dispatch")),
+                doubled:
+                    records.filter(record => record.kind === "dispatch" && (starts.get(record.workId) ?? 0) > 1).length,
+                servedAfterHealing: served(after),
+            },
+            baseline: {},
+            targets: [
+                { metric: "servedInCutZone", bound: "at-least", value: 0.99 },
+                { metric: "servedInOtherZones", bound: "at-least", value: 0.99 },
+                { metric: "keyedFalseNotRun", bound: "at-most", value: 0 },
+                { metric: "doubled", bound: "at-most", value: 0 },
+                { metric: "servedAfterHealing", bound: "at-least", value: 0.99 },
+            ],
+        };
+    },
+};
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,10 +1,28 @@
 /** All benches. */
 
 import { crest } from "./benches/crest";
+import { drain } from "./benches/drain";
+import { durability } from "./benches/durability";
+import { failover } from "./benches/failover";
 import { headOfLine } from "./benches/headOfLine";
+import { manifestPropagation } from "./benches/manifestPropagation";
+import { once } from "./benches/once";
 import { overhead } from "./benches/overhead";
+import { partition } from "./benches/partition";
 import { slowdown } from "./benches/slowdown";
 import { wastedMessages } from "./benches/wastedMessages";
 import type { Bench } from "./types";
 
-export const benches: readonly Bench[] = [slowdown, headOfLine, crest, wastedMessages, overhead];
+export const benches: readonly Bench[] = [
+    slowdown,
+    crest,
+    headOfLine,
+    wastedMessages,
+    overhead,
+    manifestPropagation,
+    failover,
+    durability,
+    once,
+    drain,
+    partition,
+];
--- a/packages/anvilmux/src/services/control.ts
+++ b/packages/anvilmux/src/services/control.ts
@@ -38,7 +38,7 @@
     kernel
         .define({
             token: configurationToken,
-            requires: [zoneViewToken, networkToken, timersToken, loggerToken, trustedKeysToken],
+            requires: [zoneViewToken, networkToken, timersToken, loggerToken, metricsToken, trustedKeysToken],
             start: () => startConfiguration(kernel),
             stop: holder => holder.stop(),
         })
@@ -58,7 +58,7 @@
     if (settings["data-folder"] !== "") {
         kernel.define({
             token: controlToken,
-            requires: [configurationToken, peerServerToken, membershipToken, randomToken],
+            requires: [configurationToken, peerServerToken, membershipToken, metricsToken, randomToken],
             start: () => startControl(kernel, settings, environment),
             stop: control => control.stop(),
         });
@@ -75,6 +75,7 @@
             kernel.get(networkToken).peer(address).fetchConfiguration({ knownIndex }, { timeoutMs: fetchTimeoutMs }),
     });
     holder.start();
+    kernel.get(metricsToken).gauge("anvilmux_configuration_index", {}, () => holder.index);
     return holder;
 };
 
@@ -122,5 +123,6 @@
     });
     kernel.get(membershipToken).publish(replicaRecordKey, { memberId: replica.memberId, address: selfAddress }, false);
     control.start();
+    kernel.get(metricsToken).gauge("anvilmux_control_leading", {}, () => replica.role === "leader" ? 1 : 0);
     return control;
 };
