--- a/anvilmux-daemon/src/commandLine.ts
+++ b/anvilmux-daemon/src/commandLine.ts
@@ -1,21 +1,63 @@
-/** The command line: one module for each command. */
+/** The command line: one module for each group of commands. */
 
+import { getSettingNames } from "@anvilmux/anvilmux";
 import { getErrorMessage } from "@anvilmux/common";
+import { ManifestError } from "@anvilmux/manifest";
 import sade from "sade";
 import { registerEmbedded } from "./commands/embedded";
+import { registerManifest } from "./commands/manifest";
+import { registerOperate } from "./commands/operate";
 import { registerServe } from "./commands/serve";
+import { registerStorage } from "./commands/storage";
 import { exitCodes } from "./exitCodes";
+import { findNearestName } from "./nearestName";
+import { CommandError } from "./operatorClient";
+
+const version = "0.1.0";
+
+const otherFlags = [
+    "entry",
+    "token",
+    "json",
+    "key",
+    "key-id",
+    "keep",
+    "data-folder",
+    "print-settings",
+    "help",
+    "version",
+];
+
+/** Refuses a flag that no command knows, naming the nearest one. */
+const refuseUnknownFlag = (flag: string): string => {
+    const nearest = findNearestName(flag.replace(/^-+/, ""), [...getSettingNames(), ...otherFlags]);
+    process.stderr.write(`anvilmux: unknown flag ${flag}${nearest ? `; did you mean --${nearest}?` : ""}\n`);
+    process.exit(exitCodes.usage);
+};
 
 export const runCommandLine = async (argumentValues: readonly string[]): Promise<void> => {
     const program = sade("anvilmux");
-    program.version("0.1.0");
-    registerEmbedded(program);
-    registerServe(program);
+    program.version(version);
+    [registerServe, registerEmbedded, registerManifest, registerOperate, registerStorage].forEach(register =>
+        register(program)
+    );
+    const parsed = program.parse([...argumentValues], { lazy: true, unknown: refuseUnknownFlag });
+    if (!parsed) {
+        return;
+    }
     try {
-        await program.parse([...argumentValues]);
+        await parsed.handler(...parsed.args);
     }
     catch (error) {
-        process.stderr.write(`anvilmux: ${getErrorMessage(error)}\n`);
+        reportError(error);
+    }
+};
+
+const reportError = (error: unknown): void => {
+    if (error instanceof ManifestError) {
+        error.faults.forEach(fault => process.stderr.write(`${fault.pointer || "/"}: ${fault.reason}\n`));
         process.exit(exitCodes.failure);
     }
+    process.stderr.write(`anvilmux: ${getErrorMessage(error)}\n`);
+    process.exit(error instanceof CommandError ? error.exitCode : exitCodes.failure);
 };
--- /dev/null
+++ b/anvilmux-daemon/src/commands/operate.ts
@@ -0,0 +1,94 @@
+/** Commands that look at or change a running deployment. */
+
+import type { DeploymentStatus } from "@anvilmux/anvilmux";
+import type { Sade } from "sade";
+import { exitCodes } from "../exitCodes";
+import { callOperator, CommandError, print, toColumns } from "../operatorClient";
+import type { ConnectionFlags } from "../operatorClient";
+import { withConnection } from "./withConnection";
+
+export const registerOperate = (program: Sade): void => {
+    withConnection(program.command("status").describe("Show instances, configuration and control group")).action(
+        showStatus,
+    );
+    withConnection(program.command("explain <id>").describe("Tell what was decided for a request or job")).action(
+        explain,
+    );
+    withConnection(program.command("upstreams").describe("List the zone's announced upstreams"))
+        .action((flags: ConnectionFlags) => list(flags, "/v1/upstreams", ["service", "id", "address", "slots"]));
+    withConnection(program.command("workers").describe("List the zone's announced workers"))
+        .action((flags: ConnectionFlags) =>
+            list(flags, "/v1/workers", ["id", "rack", "address", "processors", "accelerators"])
+        );
+    withConnection(program.command("drain").describe("Make the instance at --entry leave gracefully")).action(drain);
+    withConnection(program.command("replica add <member> <address>").describe("Add a control replica as a learner"))
+        .action((memberId: string, address: string, flags: ConnectionFlags) =>
+            changeReplicas(flags, { add: { memberId, address } })
+        );
+    withConnection(program.command("replica promote <member>").describe("Make a learner a voter"))
+        .action((memberId: string, flags: ConnectionFlags) => changeReplicas(flags, { promote: memberId }));
+    withConnection(program.command("replica remove <member>").describe("Remove a control replica"))
+        .action((memberId: string, flags: ConnectionFlags) => changeReplicas(flags, { remove: memberId }));
+};
+
+const showStatus = async (flags: ConnectionFlags): Promise<void> => {
+    const status = await callOperator(flags, "GET", "/v1/status") as DeploymentStatus;
+    const { configuration, control } = status;
+    print(flags, status, [
+        `instance ${status.instance} in ${status.zone}: ${
+            status.ready ? "ready" : `not ready, ${status.obstacle ?? ""}`
+        }`,
+        `configuration: index ${configuration.index}, version ${configuration.version}, `
+        + (configuration.confirmedByMajority ? "confirmed by a majority" : "not confirmed by a majority"),
+        `not confirming: ${configuration.notConfirming.join(", ") || "none"}`,
+        control.available
+            ? `control group: term ${control.term}, commit ${control.commitIndex}`
+            : `control group: ${control.reason}`,
+        ...toColumns([
+            ["INSTANCE", "ZONE", "STATE", "LIVENESS", "INDEX"],
+            ...status.instances.map(
+                item => [item.id, item.zone, item.state, item.liveness, String(item.configurationIndex)],
+            ),
+        ]),
+        ...toColumns([
+            ["REPLICA", "ADDRESS", "VOTER", "MATCH", "REACHABLE"],
+            ...control.replicas.map(item => [
+                item.memberId,
+                item.address,
+                String(item.voter),
+                String(item.matchIndex),
+                String(item.reachable),
+            ]),
+        ]),
+    ]);
+};
+
+const explain = async (id: string, flags: ConnectionFlags): Promise<void> => {
+    const result = await callOperator(flags, "GET", `/v1/explain/${encodeURIComponent(id)}`) as {
+        readonly explanations: readonly { readonly instance: string; readonly lines: readonly string[]; }[];
+        readonly unreachable: readonly string[];
+    };
+    const lines = result.explanations.flatMap(item => [`${item.instance}:`, ...item.lines.map(line => `  ${line}`)]);
+    const missing = result.unreachable.length > 0 ? [`not asked: ${result.unreachable.join(", ")}`] : [];
+    print(flags, result, [...lines, ...missing]);
+};
+
+const list = async (flags: ConnectionFlags, path: string, columns: readonly string[]): Promise<void> => {
+    const items = await callOperator(flags, "GET", path) as readonly Readonly<Record<string, unknown>>[];
+    const rows = items.map(item => columns.map(column => String(item[column] ?? "")));
+    print(flags, items, toColumns([columns.map(column => column.toUpperCase()), ...rows]));
+};
+
+const drain = async (flags: ConnectionFlags): Promise<void> => {
+    if (!flags.entry) {
+        throw new CommandError("--entry must name the instance that is to leave", exitCodes.usage);
+    }
+    print(flags, await callOperator(flags, "POST", "/v1/drain"), ["leaving; it exits when its open work is done"]);
+};
+
+const changeReplicas = async (flags: ConnectionFlags, change: unknown): Promise<void> => {
+    const result = await callOperator(flags, "POST", "/v1/replicas", JSON.stringify(change)) as {
+        readonly index: number;
+    };
+    print(flags, result, [`accepted at index ${result.index}`]);
+};
--- a/anvilmux-daemon/src/commands/serve.ts
+++ b/anvilmux-daemon/src/commands/serve.ts
@@ -5,6 +5,7 @@
     getEnvironmentName,
     getSettingNames,
     Instance,
+    lifecycleToken,
     loadSettings,
     loggerToken,
     settingDefinitions,
@@ -58,6 +59,7 @@
 
 /** The first SIGTERM or SIGINT leaves gracefully, the second stops at once; SIGHUP reads certificates again. */
 const listenToSignals = (instance: Instance): void => {
+    const lifecycle = instance.kernel.get(lifecycleToken);
     let leaving = false;
     const leave = () => {
         if (leaving) {
@@ -65,8 +67,9 @@
             process.exit(exitCodes.interrupted);
         }
         leaving = true;
-        void instance.leave().then(() => process.exit(exitCodes.success));
+        void lifecycle.drain();
     };
+    void lifecycle.whenDrained.then(() => instance.stop()).then(() => process.exit(exitCodes.success));
     process.on("SIGTERM", leave);
     process.on("SIGINT", leave);
     process.on("SIGHUP", () => instance.reloadTls());
--- /dev/null
+++ b/anvilmux-daemon/src/commands/withConnection.ts
@@ -0,0 +1,9 @@
+/** The flags of commands that talk to a deployment. */
+
+import type { Sade } from "sade";
+
+export const withConnection = (command: Sade): Sade =>
+    command
+        .option("--entry", "Public address of any instance [ANVILMUX_ENTRY]")
+        .option("--token", "Operator token [ANVILMUX_OPERATOR_TOKEN]")
+        .option("--json", "Print JSON");
--- a/bench/src/benches/jobs.ts
+++ b/bench/src/benches/jobs.ts
@@ -109,6 +109,7 @@
     }
     const needed = { processors: 1, memoryMebibytes: 512, accelerators: 0 };
     const placed: string[] = [];
+    let oldest = 0;
     const place = (count: number) => {
         for (let number = 0; number < count; number++) {
             const worker = index.find(needed);
@@ -116,8 +117,8 @@
                 index.use(worker.id, needed);
                 placed.push(worker.id);
             }
-            if (placed.length > workers * 11) {
-                index.use(placed.shift()!, needed, -1);
+            if (placed.length - oldest > workers * 11) {
+                index.use(placed[oldest++]!, needed, -1);
             }
         }
     };
--- a/packages/anvilmux/src/Lifecycle.ts
+++ b/packages/anvilmux/src/Lifecycle.ts
@@ -1,6 +1,6 @@
 /** The states of an instance: starting, ready, leaving. Leaving cuts off nothing. */
 
-import { sleep } from "@anvilmux/common";
+import { newDeferred, sleep } from "@anvilmux/common";
 import type { Clock, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
 import type { InstanceRecord, Membership } from "@anvilmux/membership";
 import type { Logger } from "@anvilmux/telemetry";
@@ -29,6 +29,7 @@
     private admitting = true;
     private unsubscribe: Unsubscribe = () => undefined;
     private draining: Promise<void> | undefined;
+    private readonly drained = newDeferred<void>();
 
     constructor(private readonly options: LifecycleOptions) {}
 
@@ -55,6 +56,11 @@
         return this.state === "leaving" ? "leaving" : this.options.getObstacle();
     }
 
+    /** Resolves when the instance has left, whoever asked for it. */
+    get whenDrained(): Promise<void> {
+        return this.drained.promise;
+    }
+
     /** Leaves gracefully: not ready, then no new work, then done when open work has ended. */
     drain(): Promise<void> {
         this.draining ??= this.runDrain();
@@ -73,6 +79,7 @@
             await sleep(timers, drainCheckPeriodMs);
         }
         logger.info("drained", { openWork: getOpenWork() });
+        this.drained.resolve();
     }
 
     private publish(): void {
--- a/packages/anvilmux/src/ZoneView.ts
+++ b/packages/anvilmux/src/ZoneView.ts
@@ -72,7 +72,7 @@
         const ids = entries.map(entry => entry.id);
         const byOwner = new Map<string, WorkerAnnouncement[]>();
         for (const worker of this.options.workers.getLive()) {
-            const owner = pickByRendezvous(worker.id, ids);
+            const owner = pickByRendezvous(`workers@${this.options.zone}`, ids);
             if (owner !== undefined) {
                 byOwner.set(owner, [...byOwner.get(owner) ?? [], worker]);
             }
--- a/packages/anvilmux/src/http/PublicServer.ts
+++ b/packages/anvilmux/src/http/PublicServer.ts
@@ -86,7 +86,8 @@
         : createSecureServer({ ...options, ...readCertificate(settings) }, app);
 };
 
-const newApp = (kernel: Kernel): Express => {
+/** All routes of the public interface; services are looked up when a request comes. */
+export const newApp = (kernel: Kernel): Express => {
     const app = express();
     app.disable("x-powered-by");
     app.disable("etag");
--- a/packages/anvilmux/src/index.ts
+++ b/packages/anvilmux/src/index.ts
@@ -8,6 +8,7 @@
  */
 export * from "./environment";
 export * from "./errors";
+export { newApp } from "./http/PublicServer";
 export * from "./Instance";
 export { defineBaseServices } from "./services/base";
 export { defineControlServices } from "./services/control";
--- /dev/null
+++ b/packages/anvilmux/tests/settings.test.ts
@@ -0,0 +1,52 @@
+/** Settings: sources, checks and what is shown of them. */
+
+import { describeSettings, loadSettings, SettingsError } from "@anvilmux/anvilmux";
+
+const credentials = { "peer-secrets": "one,two", "platform-token": "platform", "operator-token": "operator" };
+const required = { "instance-id": "entry-1", "zone": "eire-dub", ...credentials };
+
+const getFaults = (flags: Record<string, string>): readonly string[] => {
+    try {
+        loadSettings(flags, {});
+        return [];
+    }
+    catch (error) {
+        return error instanceof SettingsError ? error.faults.map(fault => fault.setting) : [String(error)];
+    }
+};
+
+describe("settings", () => {
+    test("flags go before environment variables, these before defaults", () => {
+        const { settings, sources } = loadSettings({ ...required, "peer-port": "1" }, {
+            ANVILMUX_PEER_PORT: "2",
+            ANVILMUX_PUBLIC_PORT: "3",
+        });
+        expect([settings["peer-port"], settings["public-port"], settings.host]).toEqual([1, 3, "127.0.0.1"]);
+        expect(["peer-port", "public-port", "host"].map(name => sources.get(name as "host")))
+            .toEqual(["flag", "environment", "default"]);
+    });
+
+    test("all faults are reported together, each with its setting", () => {
+        expect(getFaults({ "zone": "Eire", "peer-port": "99999", "slot-strategy": "best" }))
+            .toEqual(["instance-id", "zone", "peer-port", "slot-strategy"]);
+    });
+
+    test("an instance without credentials needs the development flag", () => {
+        expect(getFaults({ "instance-id": "a", "zone": "b" })).toEqual([
+            "peer-secrets",
+            "platform-token",
+            "operator-token",
+        ]);
+        expect(getFaults({ "instance-id": "a", "zone": "b", "development": "true" })).toEqual([]);
+    });
+
+    test("peer certificates go together", () => {
+        expect(getFaults({ ...required, "peer-tls-key": "key.pem" })).toEqual(["peer-tls-certificate"]);
+    });
+
+    test("secrets are not shown", () => {
+        const text = describeSettings(loadSettings(required, {})).join("\n");
+        expect(text).toContain("zone=eire-dub (flag)");
+        expect(text).not.toMatch(/=platform|=operator|one,two/);
+    });
+});
--- a/packages/jobs/src/JobManager.ts
+++ b/packages/jobs/src/JobManager.ts
@@ -44,6 +44,8 @@
     readonly team: string;
     readonly submission: Submission;
     readonly ends: Map<string, TaskEnd>;
+    /** Ids of the tasks that have not ended. */
+    readonly open: Set<string>;
     readonly finished: Deferred<void>;
     readonly owners: Set<Address>;
     state: JobState;
@@ -80,6 +82,7 @@
             team,
             submission,
             ends: new Map(),
+            open: new Set(submission.tasks.map(task => task.id)),
             finished: newDeferred<void>(),
             owners: new Set(owners.map(owner => owner.address)),
             state: "running",
@@ -188,14 +191,14 @@
 
     /** Notes the first word on a task; later ones are ignored. */
     private noteEnd(job: HeldJob, end: TaskEnd): void {
-        if (job.ends.has(end.taskId) || !job.submission.tasks.some(task => task.id === end.taskId)) {
+        if (!job.open.delete(end.taskId)) {
             return;
         }
         job.ends.set(end.taskId, end);
         if (end.outcome !== "answered") {
             this.options.decisions.add(job.id, `task ${end.taskId}: ${end.outcome}, ${end.reason}`);
         }
-        if (job.ends.size < job.submission.tasks.length) {
+        if (job.open.size > 0) {
             return;
         }
         const isComplete = !job.cancelled && [...job.ends.values()].every(item => item.outcome === "answered");
--- a/packages/jobs/src/TaskPool.ts
+++ b/packages/jobs/src/TaskPool.ts
@@ -11,6 +11,7 @@
 import { expiryPeriodMs, shortTaskReserve, stragglerFactor } from "./constants";
 import type { PlaceTask } from "./placement";
 import { Quarantine } from "./Quarantine";
+import { getTaskOutcome } from "./taskOutcome";
 import type { OwnedTask, TaskEnd, TaskOutcomeName } from "./types";
 import { WorkerIndex } from "./WorkerIndex";
 import type { IndexedWorker } from "./WorkerIndex";
@@ -71,6 +72,7 @@
     private totalProcessors = 0;
     private freeProcessors = 0;
     private waitingCount = 0;
+    private servePlanned = false;
     private readonly unsubscribe: Unsubscribe;
 
     constructor(private readonly options: TaskPoolOptions) {
@@ -195,8 +197,7 @@
     }
 
     private releaseIfIdle(id: string, owned: OwnedWorker): void {
-        const isBusy = [...this.running.values()].some(running => running.workerId === id);
-        if (!owned.leaving || isBusy) {
+        if (!owned.leaving || [...this.running.values()].some(running => running.workerId === id)) {
             return;
         }
         this.workers.delete(id);
@@ -304,7 +305,18 @@
         if (owned) {
             this.releaseIfIdle(workerId, owned);
         }
-        this.serve();
+        this.planServe();
+    }
+
+    /** Serves once for all task ends that arrive together. */
+    private planServe(): void {
+        if (!this.servePlanned) {
+            this.servePlanned = true;
+            queueMicrotask(() => {
+                this.servePlanned = false;
+                this.serve();
+            });
+        }
     }
 
     private judgeWorker(id: string, word: WorkerWord, cancelled: boolean): void {
@@ -380,16 +392,3 @@
 }
 
 const newQueue = (): TinyQueue<QueuedTask> => new TinyQueue<QueuedTask>([], (left, right) => left.key - right.key);
-
-const getTaskOutcome = (word: WorkerWord, cancelled: boolean): TaskOutcomeName => {
-    switch (word.state) {
-        case "finished":
-            return "answered";
-        case "failed":
-            return "failed";
-        case "refused":
-            return "not-run";
-        case "lost":
-            return cancelled ? "failed" : "unknown";
-    }
-};
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -18,7 +18,8 @@
 /** Free minus waiting slots by service at a steward, under the record key `load`, for spilling between zones. */
 export const loadRecordSchema = z.record(z.string(), z.number());
 
-const resourceAmount = z.number().nonnegative().max(1_000_000);
+/** Processors, mebibytes or accelerators. */
+const resourceAmount = z.number().nonnegative().max(1_000_000_000);
 
 /** What an upstream announces to any entry of its zone. */
 export const upstreamAnnouncementSchema = z.object({
--- a/packages/membership/tests/Membership.test.ts
+++ b/packages/membership/tests/Membership.test.ts
@@ -1,7 +1,14 @@
 /** Gossip, liveness, leases and leaving over a fake network on virtual time. */
 
 import { newRandom, toAddress, VirtualTime } from "@anvilmux/common";
-import { LeaseRegistry, Membership, upstreamAnnouncementSchema } from "@anvilmux/membership";
+import {
+    deadAfterMs,
+    gossipPeriodMs,
+    LeaseRegistry,
+    Membership,
+    suspectAfterMs,
+    upstreamAnnouncementSchema,
+} from "@anvilmux/membership";
 import type { UpstreamAnnouncement } from "@anvilmux/membership";
 import { newSilentLogger } from "@anvilmux/telemetry";
 
@@ -84,9 +91,9 @@
         const { network, members } = newZone();
         await network.time.advance(8_000);
         network.cutOff.add("c");
-        await network.time.advance(3_200);
+        await network.time.advance(suspectAfterMs + gossipPeriodMs);
         expect(members[0]!.getMember("c")!.liveness).toBe("suspect");
-        await network.time.advance(4_000);
+        await network.time.advance(deadAfterMs - suspectAfterMs);
         expect(members[0]!.getMember("c")!.liveness).toBe("dead");
         network.cutOff.clear();
         await network.time.advance(8_000);
--- a/stand-ins/src/Announcer.ts
+++ b/stand-ins/src/Announcer.ts
@@ -11,6 +11,9 @@
     readonly platformToken: string;
 }
 
+/** The entry answered that the announcement is not valid: no other entry will take it. */
+class AnnouncementRefused extends Error {}
+
 export class Announcer {
     private timer: NodeJS.Timeout | undefined;
     private preferred = 0;
@@ -54,12 +57,18 @@
                     headersTimeout: 1_000,
                 });
                 await response.body.dump();
+                if (response.statusCode === 400) {
+                    throw new AnnouncementRefused(`${entry} refused the announcement of ${path}`);
+                }
                 if (response.statusCode < 500) {
                     this.preferred = (this.preferred + attempt) % entries.length;
                     return true;
                 }
             }
-            catch {
+            catch (error) {
+                if (error instanceof AnnouncementRefused) {
+                    throw error;
+                }
                 // The next entry is tried.
             }
         }
--- a/stand-ins/src/StandInWorker.ts
+++ b/stand-ins/src/StandInWorker.ts
@@ -139,13 +139,22 @@
     private startTasks(ownerId: string, epoch: number, tasks: readonly WireTask[], response: ServerResponse): void {
         response.writeHead(200, { "content-type": "application/x-ndjson" });
         let open = tasks.length;
-        const write = (taskId: string, state: string, result: string, reason: string) => {
-            response.write(JSON.stringify({ taskId, state, result, reason }) + "\n");
-            open -= 1;
+        let lines = "";
+        /** Ends of one turn of the event loop are written together. */
+        const flush = () => {
+            response.write(lines);
+            lines = "";
             if (open === 0) {
                 response.end();
             }
         };
+        const write = (taskId: string, state: string, result: string, reason: string) => {
+            if (lines === "") {
+                setImmediate(flush);
+            }
+            lines += JSON.stringify({ taskId, state, result, reason }) + "\n";
+            open -= 1;
+        };
         const isOwner = ownerId === this.ownerId && epoch === this.epoch && performance.now() < this.leaseEnd;
         for (const task of tasks) {
             if (!isOwner) {
