--- a/bench/src/ProcessDeployment.ts
+++ b/bench/src/ProcessDeployment.ts
@@ -39,7 +39,7 @@
 const program = resolve("dist/anvilmux.js");
 /** `ANVILMUX_PROFILE=FOLDER` writes a processor profile of each process that ends by itself. */
 const profileFolder = process.env["ANVILMUX_PROFILE"];
-const profilerFlags = profileFolder ? ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`] : ["--enable-source-maps"];
+const profilerFlags = profileFolder ? ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`] : [];
 
 export class ProcessDeployment {
     readonly processes: Process[] = [];
--- a/bench/src/benches/capacity.ts
+++ b/bench/src/benches/capacity.ts
@@ -9,7 +9,9 @@
 import { newSilentLogger } from "@anvilmux/telemetry";
 import { create, toBinary } from "@bufbuild/protobuf";
 import { measureControlPlane } from "../controlPlane";
-import { benchManifest } from "../requestPath";
+import { getProcessorMs } from "../processCost";
+import { ProcessDeployment } from "../ProcessDeployment";
+import { benchManifest, callerToken, newLoad, service } from "../requestPath";
 import { fitLine, round } from "../statistics";
 import type { Bench, Figures } from "../types";
 
@@ -171,6 +173,58 @@
     return { microseconds: measureMicroseconds(200, verify), bytes: envelope.length };
 };
 
+interface CallCost {
+    readonly rate: number;
+    /** Processor time of the zone's entries, in milliseconds a second. */
+    readonly processorMs: number;
+    /** Bytes a second between the entries. */
+    readonly peerBytes: number;
+}
+
+const callRates = [50, 100, 200, 400];
+const callSpanMs = 3_000;
+
+/** Processor time and peer traffic of a zone of three entries, by service calls a second. */
+const measureCalls = async (): Promise<readonly CallCost[]> => {
+    const deployment = new ProcessDeployment({ zones: ["eire-dub"], entries: [3], service, controlCount: 1 });
+    await deployment.start();
+    await deployment.putInForce(benchManifest(1));
+    await deployment.addUpstreams("eire-dub", 10, 8);
+    const load = newLoad(deployment, "capacity");
+    const runAt = (rate: number) =>
+        load.run({
+            service,
+            token: callerToken,
+            seed: 1,
+            duration: callSpanMs,
+            kinds: [{ kind: "screen", share: 1, sampleRun: () => 50 }],
+            getRate: () => rate,
+        });
+    await runAt(callRates.at(-1)!);
+    const getProcessor = () => deployment.processes.reduce((sum, item) => sum + getProcessorMs(item.child!.pid!), 0);
+    const getBytes = async () => {
+        const values = await Promise.all(
+            deployment.processes.map(item => deployment.getMetric(item.id, "anvilmux_peer_bytes_total")),
+        );
+        return values.reduce((sum, value) => sum + value, 0);
+    };
+    const costs: CallCost[] = [];
+    for (const rate of callRates) {
+        const processorBefore = getProcessor();
+        const bytesBefore = await getBytes();
+        await runAt(rate);
+        const seconds = callSpanMs / 1_000;
+        costs.push({
+            rate,
+            processorMs: (getProcessor() - processorBefore) / seconds,
+            peerBytes: (await getBytes() - bytesBefore) / seconds,
+        });
+    }
+    await load.close();
+    await deployment.stop();
+    return costs;
+};
+
 const getHeap = (): number => {
     (globalThis as { readonly gc?: () => void; }).gc?.();
     return process.memoryUsage().heapUsed;
@@ -179,7 +233,7 @@
 const memberSizes = [8, 24, 48, 96];
 const upstreamSizes = [10, 40, 80, 160];
 const workerSizes = [30, 300, 1_000, 2_900];
-const claimSizes = [2_000, 10_000, 30_000, 60_000];
+const claimSizes = [10_000, 20_000, 40_000, 80_000];
 const batchSizes = [1, 8, 64, 256];
 const teamSizes = [5, 10, 25, 53];
 
@@ -191,6 +245,7 @@
         for (const size of memberSizes) {
             members.push(await measureControlPlane(size, 3_000));
         }
+        const calls = await measureCalls();
         const claims = claimSizes.map(size => ({ size, ...measureClaims(size) }));
         const manifests = teamSizes.map(size => ({ size, ...measureManifest(size) }));
         const batches: Point[] = [];
@@ -206,6 +261,8 @@
                 ),
                 ...describeLine("memberBytesPerSecond", members.map(item => [item.members, item.bytesPerSecond]), 0),
                 ...describeLine("memberHeapKibibytes", members.map(item => [item.members, item.heapKibibytes]), 0),
+                ...describeLine("callProcessorMs", calls.map(item => [item.rate, item.processorMs]), 1),
+                ...describeLine("callPeerBytes", calls.map(item => [item.rate, item.peerBytes]), 0),
                 ...describeLine("grantMicroseconds", upstreamSizes.map(size => [size, measureGrant(size)]), 2),
                 ...describeLine("placementMicroseconds", workerSizes.map(size => [size, measurePlacement(size)]), 2),
                 ...describeLine("claimHeapBytes", claims.map(item => [item.size, item.heapBytes]), 0),
--- a/bench/src/benches/controlCost.ts
+++ b/bench/src/benches/controlCost.ts
@@ -1,7 +1,7 @@
 /** What control costs a node: processor, memory and network, at today's size and by members. */
 
-import { readFileSync } from "node:fs";
 import { measureControlPlane } from "../controlPlane";
+import { getProcessorMs, getResidentMebibytes } from "../processCost";
 import { ProcessDeployment } from "../ProcessDeployment";
 import { benchManifest, service, zones } from "../requestPath";
 import { fitLine, round } from "../statistics";
@@ -11,7 +11,6 @@
 const memberSpanMs = 3_500;
 const idleMs = 6_000;
 const targetMembers = 19 * 8;
-const clockTicksPerSecond = 100;
 
 interface ProcessCost {
     readonly processorPercent: number;
@@ -19,17 +18,6 @@
     readonly residentMebibytes: number;
 }
 
-/** Processor time of a process so far, in milliseconds. */
-const getProcessorMs = (processId: number): number => {
-    const fields = readFileSync(`/proc/${processId}/stat`, "utf8").split(") ")[1]!.split(" ");
-    return (Number(fields[11]) + Number(fields[12])) * 1_000 / clockTicksPerSecond;
-};
-
-const getResidentMebibytes = (processId: number): number => {
-    const line = readFileSync(`/proc/${processId}/status`, "utf8").split("\n").find(item => item.startsWith("VmRSS"))!;
-    return Number(line.replaceAll(/\D/g, "")) / 1_024;
-};
-
 /** The costliest process of today's deployment while no request comes. */
 const measureProcesses = async (): Promise<ProcessCost> => {
     const deployment = new ProcessDeployment({ zones, entries: [3, 3, 2], service });
--- a/packages/anvilmux/src/http/jobRoutes.ts
+++ b/packages/anvilmux/src/http/jobRoutes.ts
@@ -227,7 +227,9 @@
         }
     }
     catch (error) {
-        const detail = `the instance that holds job "${id}" does not answer: ${getErrorMessage(error)}`;
+        const detail = error instanceof JobError
+            ? error.message
+            : `the instance that holds job "${id}" does not answer: ${getErrorMessage(error)}`;
         sendProblem(response, newProblem(502, "outcome-unknown", "Outcome unknown", "unknown", detail, 1_000));
     }
 };
--- a/packages/anvilmux/src/services/entry.ts
+++ b/packages/anvilmux/src/services/entry.ts
@@ -1,5 +1,6 @@
 /** Services of the request and job paths, and the public listener. */
 
+import type { Unsubscribe } from "@anvilmux/common";
 import {
     JobManager,
     newRandomPlacement,
@@ -24,10 +25,12 @@
     decisionsToken,
     jobsToken,
     lifecycleToken,
+    loadReportToken,
     loggerToken,
     membershipToken,
     metricsToken,
     networkToken,
+    ownershipToken,
     peerServerToken,
     publicServerToken,
     randomToken,
@@ -69,6 +72,18 @@
             start: () => startTaskPool(kernel, settings),
             stop: pool => pool.stop(),
         })
+        .define({
+            token: ownershipToken,
+            requires: [taskPoolToken, zoneViewToken, timersToken],
+            start: () => startOwnership(kernel, settings),
+            stop: unsubscribe => unsubscribe(),
+        })
+        .define({
+            token: loadReportToken,
+            requires: [slotsToken, membershipToken, timersToken],
+            start: () => startLoadReport(kernel),
+            stop: unsubscribe => unsubscribe(),
+        })
         .define({
             token: jobsToken,
             requires: [taskPoolToken, networkToken],
@@ -143,7 +158,6 @@
 
 const startTaskPool = (kernel: Kernel, settings: Settings): TaskPool => {
     const configuration = kernel.get(configurationToken);
-    const zoneView = kernel.get(zoneViewToken);
     const pool = new TaskPool({
         ownerId: settings["instance-id"],
         clock: kernel.get(clockToken),
@@ -156,13 +170,24 @@
         getTeamProcessors: team =>
             configuration.configuration?.manifest.teams.find(item => item.name === team)?.processors ?? Infinity,
     });
-    kernel.get(timersToken).every(ownershipPeriodMs, () => {
-        const own = zoneView.getOwners().find(owner => owner.instanceId === settings["instance-id"]);
-        pool.setWorkers(own?.workers ?? []);
-    });
     return pool;
 };
 
+/** Keeps the pool's workers equal to those this instance owns. */
+const startOwnership = (kernel: Kernel, settings: Settings): Unsubscribe =>
+    kernel.get(timersToken).every(ownershipPeriodMs, () => {
+        const owners = kernel.get(zoneViewToken).getOwners();
+        const own = owners.find(owner => owner.instanceId === settings["instance-id"]);
+        kernel.get(taskPoolToken).setWorkers(own?.workers ?? []);
+    });
+
+/** Tells the other zones how many slots are free where this instance is the steward. */
+const startLoadReport = (kernel: Kernel): Unsubscribe =>
+    kernel.get(timersToken).every(loadPeriodMs, () => {
+        const freeSlots = kernel.get(slotsToken).getFreeSlots();
+        kernel.get(membershipToken).publish(loadRecordKey, freeSlots, false, false);
+    });
+
 const startJobs = (kernel: Kernel, settings: Settings): JobManager => {
     const clock = kernel.get(clockToken);
     const startedAt = clock.now();
--- a/packages/anvilmux/src/tokens.ts
+++ b/packages/anvilmux/src/tokens.ts
@@ -1,6 +1,6 @@
 /** Names and types of the services of an instance. */
 
-import type { Clock, Random, Timers } from "@anvilmux/common";
+import type { Clock, Random, Timers, Unsubscribe } from "@anvilmux/common";
 import type { ConfigurationHolder, ControlClient, ControlService } from "@anvilmux/control";
 import type { JobManager, TaskPool } from "@anvilmux/jobs";
 import { newServiceToken } from "@anvilmux/kernel";
@@ -36,6 +36,8 @@
 export const slotsToken = newServiceToken<SlotDirectory>("slots");
 export const callsToken = newServiceToken<CallHandler>("calls");
 export const taskPoolToken = newServiceToken<TaskPool>("task-pool");
+export const ownershipToken = newServiceToken<Unsubscribe>("ownership");
+export const loadReportToken = newServiceToken<Unsubscribe>("load-report");
 export const jobsToken = newServiceToken<JobManager>("jobs");
 export const lifecycleToken = newServiceToken<Lifecycle>("lifecycle");
 export const publicServerToken = newServiceToken<PublicServer>("public-server");
--- a/packages/jobs/src/JobManager.ts
+++ b/packages/jobs/src/JobManager.ts
@@ -13,6 +13,7 @@
 import type { PeerClient } from "@anvilmux/transport";
 import { create } from "@bufbuild/protobuf";
 import { finishedJobRetentionMs, maximumFinishedJobs } from "./constants";
+import { JobError } from "./errors";
 import { checkRunnable } from "./runnable";
 import { fromTaskReport, newLostEnd } from "./taskMessages";
 import type { TaskPool } from "./TaskPool";
@@ -122,7 +123,11 @@
         if (job.state === "running" && !job.cancelled) {
             job.cancelled = true;
             this.options.decisions.add(id, "cancelled");
-            await Promise.all([...job.owners].map(address => this.cancelAt(job, address)));
+            const delivered = await Promise.all([...job.owners].map(address => this.cancelAt(job, address)));
+            if (delivered.includes(false)) {
+                job.cancelled = false;
+                throw new JobError("cancel-not-delivered", `an owner of the tasks of job "${id}" does not answer`);
+            }
         }
         return toDocument(job);
     }
@@ -131,14 +136,16 @@
         this.unsubscribe();
     }
 
-    private async cancelAt(job: HeldJob, address: Address): Promise<void> {
+    /** False when the owner cannot be reached: it may still start tasks. */
+    private async cancelAt(job: HeldJob, address: Address): Promise<boolean> {
         const owner = this.options.getOwners().find(candidate => candidate.address === address);
         if (owner?.instanceId === this.options.instanceId) {
             this.options.pool.cancelJob(job.id);
-            return;
+            return true;
         }
         try {
             await this.options.connect(address).cancelTasks({ jobId: job.id }, { timeoutMs: 1_000 });
+            return true;
         }
         catch (error) {
             this.options.logger.warn("cancel not delivered", {
@@ -146,6 +153,7 @@
                 address,
                 reason: getErrorMessage(error),
             });
+            return false;
         }
     }
 
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -48,7 +48,7 @@
 /** Answers of keyed requests that are replicated; larger ones are refused for keyed work. */
 export const maximumRecordedAnswerBytes = 65_536;
 /** A request is taken when the predicted wait is at most this share of the time it can wait. */
-export const admittedWaitShare = 0.6;
+export const admittedWaitShare = 0.5;
 /** Slots that a prediction counts on even when other work holds all of them on average. */
 export const minimumServingSlots = 1;
 /** Percentile of learned run times that a deadline must leave room for. */
--- a/packages/telemetry/src/DecisionLog.ts
+++ b/packages/telemetry/src/DecisionLog.ts
@@ -8,7 +8,8 @@
     readonly text: string;
 }
 
-const defaultCapacity = 20_000;
+/** Requests and jobs remembered; about a kilobyte each. */
+const defaultCapacity = 5_000;
 
 export class DecisionLog {
     private readonly decisions = new Map<string, Decision[]>();
--- a/packages/telemetry/src/Tracing.ts
+++ b/packages/telemetry/src/Tracing.ts
@@ -1,17 +1,7 @@
-/** Spans for each hop of a request or job, through the OpenTelemetry SDK, with W3C trace context in and out. */
-
-import { ROOT_CONTEXT, SpanStatusCode, trace, TraceFlags } from "@opentelemetry/api";
-import type { Context, Span } from "@opentelemetry/api";
-import { OTLPTraceExporter } from "@opentelemetry/exporter-trace-otlp-http";
-import { resourceFromAttributes } from "@opentelemetry/resources";
-import {
-    BasicTracerProvider,
-    BatchSpanProcessor,
-    ParentBasedSampler,
-    TraceIdRatioBasedSampler,
-} from "@opentelemetry/sdk-trace-base";
-import type { SpanExporter } from "@opentelemetry/sdk-trace-base";
-import { newFileSpanExporter } from "./fileSpanExporter";
+/**
+ * Spans for each hop of a request or job, with W3C trace context in and out. The OpenTelemetry SDK is loaded only
+ * where spans are exported, because it takes a good part of a small instance's memory.
+ */
 
 export type SpanAttributes = Readonly<Record<string, string | number | boolean>>;
 
@@ -43,73 +33,17 @@
     readonly file?: string;
 }
 
-const traceparentPattern = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/;
-
-/** Reads a W3C `traceparent`; anything malformed starts a new trace. */
-const toParentContext = (traceparent: string | undefined): Context => {
-    const match = traceparent ? traceparentPattern.exec(traceparent) : undefined;
-    if (!match) {
-        return ROOT_CONTEXT;
-    }
-    const [, traceId, spanId, flags] = match;
-    return trace.setSpanContext(ROOT_CONTEXT, {
-        traceId: traceId!,
-        spanId: spanId!,
-        traceFlags: parseInt(flags!, 16) & TraceFlags.SAMPLED,
-        isRemote: true,
-    });
-};
-
-const getExporters = (settings: TracingSettings): readonly SpanExporter[] => [
-    ...(settings.otlpUrl ? [new OTLPTraceExporter({ url: settings.otlpUrl })] : []),
-    ...(settings.file ? [newFileSpanExporter(settings.file)] : []),
-];
-
-export const newTracing = (settings: TracingSettings): Tracing => {
-    const exporters = getExporters(settings);
-    if (exporters.length === 0) {
+/** Tracing as the settings ask for it. */
+export const newTracing = async (settings: TracingSettings): Promise<Tracing> => {
+    if (!settings.otlpUrl && !settings.file) {
         return newDisabledTracing();
     }
-    const provider = new BasicTracerProvider({
-        resource: resourceFromAttributes({
-            "service.name": "anvilmux",
-            "service.instance.id": settings.instanceId,
-            "anvilmux.zone": settings.zone,
-        }),
-        sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(settings.sampleRatio) }),
-        spanProcessors: exporters.map(exporter => new BatchSpanProcessor(exporter)),
-    });
-    const tracer = provider.getTracer("anvilmux");
-    const wrapSpan = (span: Span, context: Context): Hop => ({
-        child: (name, attributes = {}) => {
-            const child = tracer.startSpan(name, { attributes }, context);
-            return wrapSpan(child, trace.setSpan(context, child));
-        },
-        set: attributes => {
-            span.setAttributes(attributes);
-        },
-        end: failure => {
-            if (failure !== undefined) {
-                span.setStatus({ code: SpanStatusCode.ERROR, message: failure });
-            }
-            span.end();
-        },
-        traceparent: () => {
-            const { traceId, spanId, traceFlags } = span.spanContext();
-            return `00-${traceId}-${spanId}-${traceFlags.toString(16).padStart(2, "0")}`;
-        },
-        traceId: span.spanContext().traceId,
-    });
-    return {
-        start: (name, traceparent, attributes = {}) => {
-            const parent = toParentContext(traceparent);
-            const span = tracer.startSpan(name, { attributes }, parent);
-            return wrapSpan(span, trace.setSpan(parent, span));
-        },
-        shutdown: () => provider.shutdown(),
-    };
+    const { newOpenTelemetryTracing } = await import("./openTelemetryTracing");
+    return newOpenTelemetryTracing(settings);
 };
 
+export const traceparentPattern = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/;
+
 /** Tracing with no exporter: passes a received trace context on and records nothing. */
 export const newDisabledTracing = (): Tracing => ({
     start: (...[, traceparent]) => {
--- /dev/null
+++ b/scenarios/src/index.ts
@@ -0,0 +1,2 @@
+/** Scenarios run by the tests; see `features/`. */
+export {};
