Long work never holds up short work behind it; admitted work comes first before its wait is over

Two faults: a long request at the head of its class that had to leave headroom blocked short requests behind it, and admitted long work came first only when it was too late to start it. Change: long work has classes of its own; the target start is at most 0.7 of the time a request can wait.

--- a/packages/routing/src/RequestQueue.ts
+++ b/packages/routing/src/RequestQueue.ts
@@ -7,9 +7,18 @@
 import TinyQueue from "tinyqueue";
 import type { GetOrderKey, WaitingRequest } from "./types";
 
-export type RequestClass = "urgent" | "other";
+/** Long work has classes of its own, so that it never holds up the short work behind it. */
+export type RequestClass = "urgent" | "urgent-long" | "other" | "other-long";
 
-export const getRequestClass = (request: WaitingRequest): RequestClass => request.urgent ? "urgent" : "other";
+export const urgentClasses: readonly RequestClass[] = ["urgent", "urgent-long"];
+export const otherClasses: readonly RequestClass[] = ["other", "other-long"];
+
+export const getRequestClass = (request: WaitingRequest): RequestClass => {
+    if (request.urgent) {
+        return request.long ? "urgent-long" : "urgent";
+    }
+    return request.long ? "other-long" : "other";
+};
 
 interface Item {
     readonly request: WaitingRequest;
@@ -33,8 +42,10 @@
 
 export class RequestQueue {
     private readonly classes: Readonly<Record<RequestClass, ClassQueue>> = {
-        urgent: newClassQueue(),
-        other: newClassQueue(),
+        "urgent": newClassQueue(),
+        "urgent-long": newClassQueue(),
+        "other": newClassQueue(),
+        "other-long": newClassQueue(),
     };
     private readonly items = new Map<string, Item>();
 
@@ -50,21 +61,14 @@
 
     /** Expected run time of all waiting requests. */
     getWork(): Milliseconds {
-        return [...this.classes.urgent.workByKind.values(), ...this.classes.other.workByKind.values()]
-            .reduce((sum, kind) => sum + kind.work, 0);
+        return this.sumWork([...urgentClasses, ...otherClasses], Infinity);
     }
 
     /** Expected run time of the waiting requests that go before `request`. */
     getWorkAhead(request: WaitingRequest): Milliseconds {
-        const name = getRequestClass(request);
-        let work = 0;
-        for (const kind of this.classes[name].workByKind.values()) {
-            work += kind.expectedRun <= request.expectedRun ? kind.work : 0;
-        }
-        if (name === "other") {
-            this.classes.urgent.workByKind.forEach(kind => work += kind.work);
-        }
-        return work;
+        return request.urgent
+            ? this.sumWork(urgentClasses, request.expectedRun)
+            : this.sumWork(urgentClasses, Infinity) + this.sumWork(otherClasses, request.expectedRun);
     }
 
     add(request: WaitingRequest): void {
@@ -95,6 +99,17 @@
         return item.request;
     }
 
+    /** Expected run time of waiting requests of kinds that run no longer than `longestRun`. */
+    private sumWork(names: readonly RequestClass[], longestRun: Milliseconds): Milliseconds {
+        let work = 0;
+        for (const name of names) {
+            for (const kind of this.classes[name].workByKind.values()) {
+                work += kind.expectedRun <= longestRun ? kind.work : 0;
+            }
+        }
+        return work;
+    }
+
     private countWork(queue: ClassQueue, request: WaitingRequest, sign: 1 | -1): void {
         const known = queue.workByKind.get(request.kind) ?? { work: 0, expectedRun: request.expectedRun };
         known.work = Math.max(0, known.work + sign * request.expectedRun);
@@ -102,8 +117,22 @@
         queue.workByKind.set(request.kind, known);
     }
 
-    /** The request to serve next in a class. `isOverShare` tells which teams yield to others. */
-    peek(name: RequestClass, isOverShare: (team: string) => boolean): WaitingRequest | undefined {
+    /**
+     * The request to serve next among some classes. `isOverShare` tells which teams yield to others; requests at the
+     * head of a class that `mayHaveSlot` refuses are passed over with their class.
+     */
+    peek(
+        names: readonly RequestClass[],
+        isOverShare: (team: string) => boolean,
+        mayHaveSlot: (request: WaitingRequest) => boolean = () => true,
+    ): WaitingRequest | undefined {
+        const heads = names.flatMap(name => this.getClassHead(name, isOverShare) ?? []);
+        const eligible = heads.filter(head => mayHaveSlot(head.request));
+        return eligible.reduce<Item | undefined>((best, head) => !best || head.key < best.key ? head : best, undefined)
+            ?.request;
+    }
+
+    private getClassHead(name: RequestClass, isOverShare: (team: string) => boolean): Item | undefined {
         let best: Item | undefined;
         let bestYields = true;
         const queue = this.classes[name];
@@ -119,7 +148,7 @@
                 bestYields = yields;
             }
         }
-        return best?.request;
+        return best;
     }
 
     /** Every waiting request, in no particular order. */
--- a/packages/routing/src/SlotScheduler.ts
+++ b/packages/routing/src/SlotScheduler.ts
@@ -13,7 +13,7 @@
     headroomPatience,
     maximumHeadroomShare,
 } from "./constants";
-import { getRequestClass, RequestQueue } from "./RequestQueue";
+import { otherClasses, RequestQueue, urgentClasses } from "./RequestQueue";
 import type { RunTimes } from "./RunTimes";
 import { SlotUsage } from "./SlotUsage";
 import type {
@@ -240,14 +240,16 @@
     private pickNext(): WaitingRequest | undefined {
         const isOverShare = (team: string) =>
             (this.heldByTeam.get(team) ?? 0) >= this.options.getTeamShare(team) * this.totalSlots;
-        const urgent = this.queue.peek("urgent", isOverShare);
-        const other = this.queue.peek("other", isOverShare);
-        const aged = other !== undefined && this.options.clock.now() - other.enqueuedAt > ageingBoundMs;
-        if (aged && this.grantsSinceAged >= grantsPerAgedGrant) {
+        const mayHaveSlot = (request: WaitingRequest) => this.freeSlots > this.getHeadroom(request);
+        const aged = this.grantsSinceAged >= grantsPerAgedGrant
+            ? this.queue.peek(otherClasses, isOverShare)
+            : undefined;
+        if (aged && this.options.clock.now() - aged.enqueuedAt > ageingBoundMs) {
             this.grantsSinceAged = 0;
-            return other;
+            return aged;
         }
-        return [urgent, other].find(request => request && this.freeSlots > this.getHeadroom(request));
+        return this.queue.peek(urgentClasses, isOverShare, mayHaveSlot)
+            ?? this.queue.peek(otherClasses, isOverShare, mayHaveSlot);
     }
 
     /**
@@ -297,7 +299,7 @@
             short: request.urgent && !request.long,
         });
         this.health.noteGranted(upstream.id);
-        this.grantsSinceAged += getRequestClass(request) === "urgent" ? 1 : 0;
+        this.grantsSinceAged += request.urgent ? 1 : 0;
         this.decide(request.id, {
             granted: true,
             grantId,
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -8,6 +8,8 @@
 export const longRunFactor = 8;
 /** Waiting aimed at, as a multiple of the expected run time; orders requests of one class. */
 export const targetWaitFactor = 2;
+/** Share of the time a request can wait after which it comes before later work of its class. */
+export const targetShareOfWait = 0.7;
 /** Time after which a waiting request that is not urgent gets a share of grants in spite of urgent work. */
 export const ageingBoundMs = 1_000;
 /** While aged requests wait, one grant in so many goes to them. */
@@ -48,7 +50,7 @@
 /** Answers of keyed requests that are replicated; larger ones are refused for keyed work. */
 export const maximumRecordedAnswerBytes = 65_536;
 /** A request is taken when the predicted wait is at most this share of the time it can wait. */
-export const admittedWaitShare = 0.5;
+export const admittedWaitShare = 0.6;
 /** Slots that a prediction counts on even when other work holds all of them on average. */
 export const minimumServingSlots = 1;
 /** Percentile of learned run times that a deadline must leave room for. */
--- a/packages/routing/src/ordering.ts
+++ b/packages/routing/src/ordering.ts
@@ -1,14 +1,17 @@
 /** Orders within a class of requests. */
 
-import { targetWaitFactor } from "./constants";
+import { targetShareOfWait, targetWaitFactor } from "./constants";
 import type { GetOrderKey } from "./types";
 
 /**
- * Earliest target first: the target is the latest start that meets the deadline, or earlier in proportion to the
- * expected run time, so that short work goes before long work and long work cannot be passed over for ever.
+ * Earliest target first: a request should start before most of the time it can wait is over, or earlier in proportion
+ * to its expected run time. Short work so goes before long work, and long work that was admitted comes first while
+ * there is still time to get it a slot.
  */
-export const getTargetStart: GetOrderKey = request =>
-    Math.min(request.deadline - request.expectedRun, request.enqueuedAt + targetWaitFactor * request.expectedRun);
+export const getTargetStart: GetOrderKey = request => {
+    const longestWait = request.deadline - request.enqueuedAt - request.plannedRun;
+    return request.enqueuedAt + Math.min(longestWait * targetShareOfWait, targetWaitFactor * request.expectedRun);
+};
 
 /** Earliest deadline first. */
 export const getDeadline: GetOrderKey = request => request.deadline;
--- a/packages/routing/tests/SlotScheduler.test.ts
+++ b/packages/routing/tests/SlotScheduler.test.ts
@@ -54,6 +54,21 @@
         expect(long.filter(decisions => decisions.length > 0).length).toBeGreaterThan(2);
     });
 
+    test("long work that must leave slots free does not hold up short work behind it", async () => {
+        const { time, ask } = newSchedulerFixture(["a", "b"], 10);
+        Array.from({ length: 18 }, () => getGrant(ask({})));
+        await time.advance(5_000);
+        const long = ask({
+            urgent: false,
+            kind: "batch",
+            long: true,
+            expectedRun: 3_000,
+            deadline: time.now() + 9_000,
+        });
+        expect(long).toEqual([]);
+        getGrant(ask({ urgent: false, kind: "report", deadline: time.now() + 60_000, expectedRun: 30_000 }));
+    });
+
     test("refuses at once what cannot start before its deadline", () => {
         const { ask } = newSchedulerFixture(["a"], 1);
         getGrant(ask({ deadline: 60_000 }));
