--- a/bench/src/benches/capacity.ts
+++ b/bench/src/benches/capacity.ts
@@ -8,7 +8,6 @@
 import { admitWithinDeadline, getTargetStart, newLeastInUse, RunTimes, SlotScheduler } from "@anvilmux/routing";
 import { newSilentLogger } from "@anvilmux/telemetry";
 import { create, toBinary } from "@bufbuild/protobuf";
-import { measureControlPlane } from "../controlPlane";
 import { getProcessorMs } from "../processCost";
 import { ProcessDeployment } from "../ProcessDeployment";
 import { benchManifest, callerToken, newLoad, service } from "../requestPath";
@@ -230,7 +229,6 @@
     return process.memoryUsage().heapUsed;
 };
 
-const memberSizes = [8, 24, 48, 96];
 const upstreamSizes = [10, 40, 80, 160];
 const workerSizes = [30, 300, 1_000, 2_900];
 const claimSizes = [10_000, 20_000, 40_000, 80_000];
@@ -241,10 +239,6 @@
     name: "capacity",
     description: "slopes of state, messages, processor time and memory by size",
     run: async () => {
-        const members = [];
-        for (const size of memberSizes) {
-            members.push(await measureControlPlane(size, 3_000));
-        }
         const calls = await measureCalls();
         const claims = claimSizes.map(size => ({ size, ...measureClaims(size) }));
         const manifests = teamSizes.map(size => ({ size, ...measureManifest(size) }));
@@ -254,13 +248,6 @@
         }
         return {
             metrics: {
-                ...describeLine(
-                    "memberProcessorPercent",
-                    members.map(item => [item.members, item.processorPercent]),
-                    3,
-                ),
-                ...describeLine("memberBytesPerSecond", members.map(item => [item.members, item.bytesPerSecond]), 0),
-                ...describeLine("memberHeapKibibytes", members.map(item => [item.members, item.heapKibibytes]), 0),
                 ...describeLine("callProcessorMs", calls.map(item => [item.rate, item.processorMs]), 1),
                 ...describeLine("callPeerBytes", calls.map(item => [item.rate, item.peerBytes]), 0),
                 ...describeLine("grantMicroseconds", upstreamSizes.map(size => [size, measureGrant(size)]), 2),
--- a/bench/src/benches/controlCost.ts
+++ b/bench/src/benches/controlCost.ts
@@ -9,7 +9,7 @@
 
 const sizes = [8, 20, 50, 100];
 const memberSpanMs = 3_500;
-const idleMs = 6_000;
+const idleMs = 4_000;
 const targetMembers = 19 * 8;
 
 interface ProcessCost {
@@ -59,6 +59,7 @@
         const bySize = Object.fromEntries(costs.flatMap(cost => [
             [`processorPercentAt${cost.members}`, round(cost.processorPercent, 2)],
             [`bytesPerSecondAt${cost.members}`, round(cost.bytesPerSecond, 0)],
+            [`heapKibibytesAt${cost.members}`, round(cost.heapKibibytes, 0)],
         ]));
         return {
             metrics: {
@@ -68,6 +69,9 @@
                 ...bySize,
                 bytesSlopePerMember: round(bytes.slope, 1),
                 bytesResidual: round(bytes.residual, 0),
+                bytesIntercept: round(bytes.intercept, 0),
+                processorResidual: round(processor.residual, 2),
+                busiestProcessPercent: round(Math.max(...costs.map(cost => cost.busiestProcessPercent)), 0),
                 processorSlopePerMember: round(processor.slope, 4),
                 bytesPerSecondAtTarget: round(bytes.intercept + bytes.slope * targetMembers, 0),
                 processorPercentAtTarget: round(processor.intercept + processor.slope * targetMembers, 2),
--- a/bench/src/controlPlane.ts
+++ b/bench/src/controlPlane.ts
@@ -1,96 +1,63 @@
-/** Many members in one process: listeners, membership and configuration over loopback sockets, without requests. */
+/** What one member costs in a deployment of many, spread over a few processes so that none is short of time. */
 
-import {
-    defineBaseServices,
-    defineControlServices,
-    definePeerServices,
-    loadSettings,
-    membershipToken,
-    newSystemEnvironment,
-    peerServerToken,
-} from "@anvilmux/anvilmux";
-import { Kernel } from "@anvilmux/kernel";
-import { newSigningKeyPair } from "@anvilmux/manifest";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { spawn } from "node:child_process";
+import { resolve } from "node:path";
+import { createInterface } from "node:readline";
+import type { MembersCost } from "./members";
 
-const membersPerZone = 8;
-const settleMs = 3_500;
+const membersPerProcess = 20;
+const settleMs = 4_000;
 
 export interface ControlPlaneCost {
     readonly members: number;
     readonly processorPercent: number;
     readonly bytesPerSecond: number;
     readonly heapKibibytes: number;
+    /** Largest share of a core that one of the processes used; near 100 the figures mean nothing. */
+    readonly busiestProcessPercent: number;
 }
 
+interface MemberProcess {
+    readonly firstAddress: string;
+    readonly cost: Promise<MembersCost>;
+}
+
+const startProcess = async (
+    count: number,
+    offset: number,
+    seed: string,
+    durationMs: number,
+): Promise<MemberProcess> => {
+    const program = resolve("dist/memberProcess.js");
+    const values = [count, offset, seed, settleMs, durationMs].map(String);
+    const child = spawn(process.execPath, ["--expose-gc", program, ...values], {
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    const lines = createInterface({ input: child.stdout })[Symbol.asyncIterator]();
+    const first = await lines.next();
+    return {
+        firstAddress: String(first.value),
+        cost: lines.next().then(line => JSON.parse(String(line.value)) as MembersCost),
+    };
+};
+
 /** What one member costs, on average, in a deployment of `members`. */
 export const measureControlPlane = async (members: number, durationMs: number): Promise<ControlPlaneCost> => {
-    const folder = mkdtempSync(join(tmpdir(), "anvilmux-members-"));
-    writeFileSync(join(folder, "key.pem"), newSigningKeyPair().publicKeyPem);
-    const heapBefore = getHeap();
-    const kernels: Kernel[] = [];
-    let seed = "";
-    for (let number = 0; number < members; number++) {
-        const kernel = newMember(number, seed, join(folder, "key.pem"));
-        await kernel.start();
-        const { address } = kernel.get(peerServerToken);
-        seed ||= address;
-        kernel.get(membershipToken).publishSelf({
-            zone: `zone-${Math.floor(number / membersPerZone)}`,
-            peerAddress: address,
-            publicAddress: address,
-            entry: true,
-            control: false,
-            state: "ready",
-            configurationIndex: 0,
-        });
-        kernels.push(kernel);
+    const first = await startProcess(Math.min(members, membersPerProcess), 0, "", durationMs + settleMs / 2);
+    const others: Promise<MemberProcess>[] = [];
+    for (let offset = membersPerProcess; offset < members; offset += membersPerProcess) {
+        const count = Math.min(membersPerProcess, members - offset);
+        others.push(startProcess(count, offset, first.firstAddress, durationMs));
     }
-    await pause(settleMs);
-    const getBytes = () => kernels.reduce((sum, kernel) => sum + kernel.get(peerServerToken).getByteCount(), 0);
-    const bytesBefore = getBytes();
-    const processorBefore = process.cpuUsage();
-    const startedAt = performance.now();
-    await pause(durationMs);
-    const processor = process.cpuUsage(processorBefore);
-    const elapsed = performance.now() - startedAt;
-    // A byte is received by one member and sent by another, so each counts for two members.
-    const bytesPerSecond = 2 * (getBytes() - bytesBefore) / elapsed * 1_000 / members;
-    const heapKibibytes = (getHeap() - heapBefore) / 1_024 / members;
-    await Promise.all(kernels.map(kernel => kernel.stop()));
-    rmSync(folder, { recursive: true, force: true });
+    const processes = [first, ...await Promise.all(others)];
+    const costs = await Promise.all(processes.map(item => item.cost));
+    const sum = (read: (cost: MembersCost) => number) => costs.reduce((total, cost) => total + read(cost), 0);
     return {
         members,
-        processorPercent: (processor.user + processor.system) / 1_000 / elapsed / members * 100,
-        bytesPerSecond,
-        heapKibibytes,
+        processorPercent: sum(cost => cost.processorMs / cost.elapsedMs) / members * 100,
+        // A byte is received by one member and sent by another, so each counts for two members.
+        bytesPerSecond: 2 * sum(cost => cost.bytes / cost.elapsedMs) * 1_000 / members,
+        heapKibibytes: sum(cost => cost.heapBytes) / 1_024 / members,
+        busiestProcessPercent: Math.max(...costs.map(cost => cost.processorMs / cost.elapsedMs * 100)),
     };
 };
-
-const newMember = (number: number, seed: string, keyFile: string): Kernel => {
-    const { settings } = loadSettings({
-        "instance-id": `member-${number}`,
-        "zone": `zone-${Math.floor(number / membersPerZone)}`,
-        "peer-port": "0",
-        "public-port": "0",
-        "seeds": seed,
-        "development": "true",
-        "trusted-keys": `key=${keyFile}`,
-        "log-level": "error",
-    }, {});
-    const environment = newSystemEnvironment();
-    const kernel = new Kernel();
-    defineBaseServices(kernel, settings, environment);
-    definePeerServices(kernel, settings, environment);
-    defineControlServices(kernel, settings, environment);
-    return kernel;
-};
-
-const getHeap = (): number => {
-    (globalThis as { readonly gc?: () => void; }).gc?.();
-    return process.memoryUsage().heapUsed;
-};
-
-const pause = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -34,6 +34,7 @@
         anvilmux: "anvilmux-daemon/src/main.ts",
         library: "packages/anvilmux/src/index.ts",
         bench: "bench/src/main.ts",
+        memberProcess: "bench/src/memberProcess.ts",
         forwarder: "bench/src/forwarder.ts",
         upstreamProcess: "bench/src/upstreamProcess.ts",
     },
