Long work is judged by kinds in use; new instances meet within a second; the demonstration sends refused jobs again

'npm start' failed in a fresh clone: the job came before the entry knew the zone's workers and its honest refusal was not sent again. Change: the reference is the shortest kind with 5 % of the recent exchanges; four early gossip rounds; the demonstration repeats a refusal that says 'not run'.

--- a/anvilmux-daemon/src/embedded.ts
+++ b/anvilmux-daemon/src/embedded.ts
@@ -22,6 +22,8 @@
 
 const callCount = 60;
 const taskCount = 160;
+const mostSubmissions = 20;
+const resubmitPauseMs = 500;
 const authorization = `Bearer ${sampleCaller.token}`;
 
 /** Starts the deployment, sends calls and jobs through different entries and checks each answer. */
@@ -93,12 +95,11 @@
         id: `task-${number}`,
         payload: JSON.stringify({ runMs: 50 + number }),
     }));
-    const submitted = await request(`http://${deployment.getPublicAddress(ids[1]!)}/v1/jobs`, {
-        method: "POST",
-        headers: { authorization, "content-type": "application/json" },
-        body: JSON.stringify({ submissionId: "sample-job", urgent: true, tasks }),
+    const jobId = await submitJob(deployment.getPublicAddress(ids[1]!), {
+        submissionId: "sample-job",
+        urgent: true,
+        tasks,
     });
-    const { jobId } = await submitted.body.json() as { readonly jobId: string; };
     const fetched = await request(`http://${deployment.getPublicAddress(ids.at(-1)!)}/v1/jobs/${jobId}?waitMs=20000`, {
         headers: { authorization },
     });
@@ -109,3 +110,22 @@
     const results = job.state === "complete" ? job.results ?? {} : {};
     return tasks.filter(task => results[task.id] === `done ${jobId}/${task.id}`).length;
 };
+
+/** Submits a job; a refusal that says "not run" while workers are still being found is sent again. */
+const submitJob = async (address: string, submission: unknown): Promise<string> => {
+    for (let attempt = 0;; attempt++) {
+        const response = await request(`http://${address}/v1/jobs`, {
+            method: "POST",
+            headers: { authorization, "content-type": "application/json" },
+            body: JSON.stringify(submission),
+        });
+        const { jobId } = await response.body.json() as { readonly jobId?: string; };
+        if (jobId !== undefined) {
+            return jobId;
+        }
+        if (response.statusCode !== 503 || attempt >= mostSubmissions) {
+            throw new Error(`job refused with status ${response.statusCode}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, resubmitPauseMs));
+    }
+};
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -13,6 +13,7 @@
 import {
     gossipPeriodMs,
     gossipTimeoutMs,
+    joiningRoundsMs,
     maximumDigestsPerMessage,
     memberListLifetimeMs,
     otherZonePatience,
@@ -74,7 +75,12 @@
     }
 
     start(): void {
-        this.unsubscribe = this.options.timers.every(gossipPeriodMs, () => void this.runRound());
+        const { timers } = this.options;
+        const unsubscribes = [
+            timers.every(gossipPeriodMs, () => void this.runRound()),
+            ...joiningRoundsMs.map(delay => timers.after(delay, () => void this.runRound())),
+        ];
+        this.unsubscribe = () => unsubscribes.forEach(unsubscribe => unsubscribe());
         void this.runRound();
     }
 
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -2,6 +2,8 @@
 
 /** Time between two gossip rounds of an instance. */
 export const gossipPeriodMs = 1_000;
+/** Times after the start of further rounds, so that a new instance knows the others soon. */
+export const joiningRoundsMs: readonly number[] = [100, 250, 500, 750];
 /** Every so many rounds one instance of another zone is chosen. */
 export const roundsBetweenZones = 1;
 /** Instances of the own zone that one round reaches, in turn. */
--- a/packages/routing/src/RunTimes.ts
+++ b/packages/routing/src/RunTimes.ts
@@ -13,6 +13,9 @@
     /** Exchanges that have not ended, and the sum of the times at which they started. */
     running: number;
     startSum: Milliseconds;
+    /** Exchanges that ended lately, fading with time. */
+    recent: number;
+    recentAt: Milliseconds;
 }
 
 /** Samples after which a kind's histogram starts anew, so that old behaviour is forgotten. */
@@ -21,17 +24,22 @@
 /** Run time assumed for a kind that nobody declared. */
 const defaultDeclaredMs = 100;
 
+const referenceLifetimeMs = 100;
+/** Time in which the memory of recent exchanges fades to about a third. */
+const recentFadingMs = 5_000;
+/** Share of the recent exchanges that makes a kind common. */
+const commonShare = 0.05;
+
 /** How many observed run times a declaration is worth. */
 const declarationWeight = 3;
 
 export class RunTimes {
     private readonly kinds = new Map<string, KindRunTimes>();
-    private shortest: Milliseconds | undefined;
+    private reference: { readonly at: Milliseconds; readonly run: Milliseconds; } | undefined;
 
     /** Sets the run time that the manifest declares. */
     declare(kind: string, declared: Milliseconds): void {
         this.getKind(kind).declared = declared;
-        this.shortest = undefined;
     }
 
     record(kind: string, runTime: Milliseconds): void {
@@ -43,7 +51,8 @@
         known.samples += 1;
         const weight = Math.max(runTimeSmoothing, 1 / known.samples);
         known.average += weight * (runTime - known.average);
-        this.shortest = undefined;
+        known.recent = this.getRecent(known) + 1;
+        known.recentAt = this.clock.now();
     }
 
     constructor(private readonly clock: Clock) {}
@@ -87,14 +96,26 @@
         return known.samples >= samplesBeforeLearning ? runTime / Math.max(1, known.average) : 1;
     }
 
-    /** True for a kind that runs many times longer than the shortest kind. */
+    /** True for a kind that runs many times longer than the shortest kind with a part in the recent work. */
     isLong(kind: string): boolean {
-        this.shortest ??= Math.min(
-            ...[...this.kinds.values()].map(known =>
-                known.samples >= samplesBeforeLearning ? known.average : known.declared
-            ),
-        );
-        return this.getExpected(kind) > this.shortest * longRunFactor;
+        const now = this.clock.now();
+        if (!this.reference || now - this.reference.at > referenceLifetimeMs) {
+            this.reference = { at: now, run: this.getShortestCommonRun() };
+        }
+        return this.getExpected(kind) > this.reference.run * longRunFactor;
+    }
+
+    /** A kind that is hardly used any more does not decide what counts as long. */
+    private getShortestCommonRun(): Milliseconds {
+        const kinds = [...this.kinds.values()];
+        const total = kinds.reduce((sum, known) => sum + this.getRecent(known), 0);
+        const common = kinds.filter(known => total > 0 && this.getRecent(known) >= total * commonShare);
+        const runs = common.length > 0 ? common.map(known => known.average) : kinds.map(known => known.declared);
+        return Math.min(...runs);
+    }
+
+    private getRecent(known: KindRunTimes): number {
+        return known.recent * Math.exp(-(this.clock.now() - known.recentAt) / recentFadingMs);
     }
 
     private getKind(kind: string): KindRunTimes {
@@ -107,6 +128,8 @@
                 declared: defaultDeclaredMs,
                 running: 0,
                 startSum: 0,
+                recent: 0,
+                recentAt: 0,
             };
             this.kinds.set(kind, known);
         }
--- a/packages/routing/tests/SlotScheduler.test.ts
+++ b/packages/routing/tests/SlotScheduler.test.ts
@@ -157,4 +157,15 @@
         await time.advance(2_000);
         expect(runTimes.getExpected("batch")).toBeGreaterThan(2_000);
     });
+
+    test("a short kind that is not used any more does not make the others long", async () => {
+        const { time, runTimes } = newSchedulerFixture(["a"], 1);
+        Array.from({ length: 200 }, () => runTimes.record("warm-up", 10));
+        runTimes.declare("screen", 100);
+        await time.advance(30_000);
+        Array.from({ length: 50 }, () => runTimes.record("screen", 120));
+        Array.from({ length: 30 }, () => runTimes.record("batch", 3_000));
+        await time.advance(200);
+        expect([runTimes.isLong("screen"), runTimes.isLong("batch")]).toEqual([false, true]);
+    });
 });
