--- a/bench/src/ProcessDeployment.ts
+++ b/bench/src/ProcessDeployment.ts
@@ -176,11 +176,11 @@
         );
     }
 
-    /** Keeps an upstream announced that runs elsewhere. */
-    async announceUpstream(zone: string, address: string, slots: number): Promise<Announcer> {
+    /** Keeps an upstream announced, wherever it runs. */
+    async announceUpstream(zone: string, id: string, address: string, slots: number): Promise<Announcer> {
         const announcer = this.newAnnouncer("/v1/upstreams", zone, {
             service: this.options.service,
-            id: `upstream-${address.replace(":", "-")}`,
+            id,
             address,
             slots,
             connections: 60,
@@ -195,17 +195,7 @@
         for (let number = 0; number < count; number++) {
             const id = `${zone}-upstream-${number}`;
             const standIn = new StandInUpstream({ id, slots });
-            const address = await standIn.listen();
-            const announcer = this.newAnnouncer("/v1/upstreams", zone, {
-                service: this.options.service,
-                id,
-                address,
-                slots,
-                connections: 60,
-                incarnation: Date.now(),
-                leaseMs: 3_000,
-            });
-            await announcer.start();
+            const announcer = await this.announceUpstream(zone, id, await standIn.listen(), slots);
             this.upstreams.push({ zone, standIn, announcer });
         }
     }
--- a/bench/src/benches/overhead.ts
+++ b/bench/src/benches/overhead.ts
@@ -85,7 +85,7 @@
         const deployment = new ProcessDeployment({ zones: ["eire-dub"], entries: [1], service, controlCount: 1 });
         await deployment.start();
         await deployment.putInForce(benchManifest(1));
-        await deployment.announceUpstream("eire-dub", upstreamAddress, upstreamSlots);
+        await deployment.announceUpstream("eire-dub", "upstream", upstreamAddress, upstreamSlots);
         const path = `/v1/services/${service}/screen`;
         const entry = new Client(deployment.processes[0]!.publicAddress, path);
         const bare = new Client(`127.0.0.1:${forwarderPort}`, path);
