--- a/packages/anvilmux/src/services/control.ts
+++ b/packages/anvilmux/src/services/control.ts
@@ -3,6 +3,7 @@
 import { toAddress } from "@anvilmux/common";
 import {
     ConfigurationHolder,
+    consensusCallTimeoutMs,
     ControlClient,
     ControlService,
     ControlState,
@@ -32,7 +33,6 @@
 import { replicaRecordKey } from "../ZoneView";
 
 const fetchTimeoutMs = 2_000;
-const consensusTimeoutMs = 400;
 
 export const defineControlServices = (kernel: Kernel, settings: Settings, environment: Environment): void => {
     kernel
@@ -95,7 +95,7 @@
     const replica = new Replica(storage, state, {
         connect: member => {
             const client = network.consensus(toAddress(member.address));
-            const options = { timeoutMs: consensusTimeoutMs };
+            const options = { timeoutMs: consensusCallTimeoutMs };
             return {
                 requestVote: request => client.requestVote(request, options),
                 appendEntries: request => client.appendEntries(request, options),
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,7 +1,7 @@
 /** Ids, time, randomness, hashing and errors used by every package. */
-export * from "./canonicalJson";
 export * from "./Clock";
 export * from "./Deferred";
+export * from "./digest";
 export * from "./errors";
 export * from "./Files";
 export * from "./ids";
--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -12,14 +12,7 @@
 
 export type InstanceId = Branded<string, "InstanceId">;
 export type ZoneId = Branded<string, "ZoneId">;
-export type ServiceName = Branded<string, "ServiceName">;
-export type WorkKindName = Branded<string, "WorkKindName">;
-export type TeamName = Branded<string, "TeamName">;
-export type RequestId = Branded<string, "RequestId">;
 export type JobId = Branded<string, "JobId">;
-export type TaskId = Branded<string, "TaskId">;
-export type UpstreamId = Branded<string, "UpstreamId">;
-export type WorkerId = Branded<string, "WorkerId">;
 export type GrantId = Branded<string, "GrantId">;
 /** Identity of one life of a control replica's data folder. */
 export type MemberId = Branded<string, "MemberId">;
--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -3,7 +3,7 @@
  * the first group and replacement of replicas that lost their disk.
  */
 
-import { getErrorMessage, sleep, toAddress } from "@anvilmux/common";
+import { getErrorMessage, sleep } from "@anvilmux/common";
 import type { Address, Clock, Timers } from "@anvilmux/common";
 import { verifyEnvelope } from "@anvilmux/manifest";
 import type { TrustedKeys } from "@anvilmux/manifest";
@@ -266,6 +266,3 @@
 const isOtherLife = (member: GroupMember, announced: AnnouncedReplica): boolean =>
     member.memberId !== announced.memberId
     && getInstanceOfMember(member.memberId) === getInstanceOfMember(announced.memberId);
-
-/** Address of a member, for connecting. */
-export const getMemberAddress = (member: GroupMember): Address => toAddress(member.address);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,7 +3,6 @@
 export * from "./CallHandler";
 export * from "./claims";
 export * from "./constants";
-export * from "./errors";
 export * from "./forwardedHeaders";
 export * from "./messageQueue";
 export * from "./ordering";
