One place turns a reported grant into a counted slot

Cause: a new steward adopted its own grants and those of other entries with the same code written twice. Change: toHeldSlot serves both.

--- a/packages/routing/src/ServiceSlots.ts
+++ b/packages/routing/src/ServiceSlots.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Address, Clock, GrantId, Milliseconds, Timers } from "@anvilmux/common";
-import { toAddress } from "@anvilmux/common";
+import { toAddress, toGrantId } from "@anvilmux/common";
 import type { UpstreamAnnouncement } from "@anvilmux/membership";
 import type { HeldGrant, StewardHello, StewardReply, StewardRequest } from "@anvilmux/protocol";
 import { HeldGrantSchema, StewardReplySchema } from "@anvilmux/protocol";
@@ -16,6 +16,7 @@
 import { SlotScheduler } from "./SlotScheduler";
 import type { SchedulingPolicy } from "./SlotScheduler";
 import { StewardLink } from "./StewardLink";
+import { toHeldSlot } from "./stewardMessages";
 import type { SlotAsk } from "./stewardMessages";
 import { StewardSession } from "./StewardSession";
 import type { RefusalReason, SlotDecision, SlotGranted, SlotOutcomeName, WaitingRequest } from "./types";
@@ -161,7 +162,7 @@
         const session = new StewardSession(hello, {
             scheduler: this.zoneScheduler,
             toWaitingRequest: (ask, id, entryId) => this.toWaitingRequest(ask, id, entryId),
-            isShort: (kind, urgent) => urgent && !this.runTimes.isLong(kind),
+            isLong: kind => this.runTimes.isLong(kind),
             onMessage: () => this.options.onMessage("steward-reply"),
         });
         this.sessions.get(hello.entryId)?.end();
@@ -307,16 +308,10 @@
 
     private takeStewardship(): void {
         this.isSteward = true;
-        this.getGrantsOf(this.options.zone).forEach(grant =>
-            this.zoneScheduler.adopt(grant.grantId as GrantId, {
-                upstreamId: grant.upstreamId,
-                entryId: this.options.entryId,
-                kind: grant.workKind,
-                team: grant.team,
-                urgent: grant.urgent,
-                short: grant.urgent && !this.runTimes.isLong(grant.workKind),
-            })
-        );
+        this.getGrantsOf(this.options.zone).forEach(grant => {
+            const slot = toHeldSlot(grant, this.options.entryId, this.runTimes.isLong(grant.workKind));
+            this.zoneScheduler.adopt(toGrantId(grant.grantId), slot);
+        });
         if (this.options.getEntriesInZone() > 1) {
             this.zoneScheduler.setPaused(true);
             this.options.timers.after(stewardSettleMs, () => this.zoneScheduler.setPaused(false));
--- a/packages/routing/src/StewardSession.ts
+++ b/packages/routing/src/StewardSession.ts
@@ -6,7 +6,7 @@
 import { create } from "@bufbuild/protobuf";
 import { newMessageQueue } from "./messageQueue";
 import type { SlotScheduler } from "./SlotScheduler";
-import { toGrantMessage, toOutcomeName, toRefusalMessage, toSlotAsk } from "./stewardMessages";
+import { toGrantMessage, toHeldSlot, toOutcomeName, toRefusalMessage, toSlotAsk } from "./stewardMessages";
 import type { SlotAsk } from "./stewardMessages";
 import type { SlotDecision, WaitingRequest } from "./types";
 
@@ -14,7 +14,7 @@
     readonly scheduler: SlotScheduler;
     /** Adds the scheduler's time and learned run times to a request. */
     readonly toWaitingRequest: (ask: SlotAsk, id: string, entryId: string) => WaitingRequest;
-    readonly isShort: (kind: string, urgent: boolean) => boolean;
+    readonly isLong: (kind: string) => boolean;
     /** Called for each message sent. */
     readonly onMessage: () => void;
 }
@@ -109,14 +109,8 @@
     }
 
     private adopt(grant: HeldGrant): void {
-        this.options.scheduler.adopt(toGrantId(grant.grantId), {
-            upstreamId: grant.upstreamId,
-            entryId: this.hello.entryId,
-            kind: grant.workKind,
-            team: grant.team,
-            urgent: grant.urgent,
-            short: this.options.isShort(grant.workKind, grant.urgent),
-        });
+        const slot = toHeldSlot(grant, this.hello.entryId, this.options.isLong(grant.workKind));
+        this.options.scheduler.adopt(toGrantId(grant.grantId), slot);
     }
 
     private getId(sequence: bigint): string {
--- a/packages/routing/src/stewardMessages.ts
+++ b/packages/routing/src/stewardMessages.ts
@@ -2,10 +2,10 @@
 
 import { toAddress, toGrantId } from "@anvilmux/common";
 import type { Milliseconds } from "@anvilmux/common";
-import type { SlotGrant, SlotRefusal, SlotRequest } from "@anvilmux/protocol";
+import type { HeldGrant, SlotGrant, SlotRefusal, SlotRequest } from "@anvilmux/protocol";
 import { SlotGrantSchema, SlotOutcome, SlotRefusalSchema } from "@anvilmux/protocol";
 import { create } from "@bufbuild/protobuf";
-import type { RefusalReason, SlotDecision, SlotOutcomeName, SlotRefused } from "./types";
+import type { HeldSlot, RefusalReason, SlotDecision, SlotOutcomeName, SlotRefused } from "./types";
 
 const outcomeCodes: Readonly<Record<SlotOutcomeName, SlotOutcome>> = {
     "answered": SlotOutcome.ANSWERED,
@@ -77,3 +77,13 @@
     reason: message.reason as RefusalReason,
     retryAfter: message.retryAfterMs,
 });
+
+/** A grant that an entry reports as the slot that a scheduler counts. */
+export const toHeldSlot = (grant: HeldGrant, entryId: string, isLong: boolean): HeldSlot => ({
+    upstreamId: grant.upstreamId,
+    entryId,
+    kind: grant.workKind,
+    team: grant.team,
+    urgent: grant.urgent,
+    short: grant.urgent && !isLong,
+});
