The whole path on the users' platform: entries that dispatch, control that tells, an adapter that translates

Cause: today's product knows no queue of jobs that need not be stored, no workers that list their runs, and no way to hear of configurations and workers but gossip at 2 ms a call. Change: packages links (held connections with beats), dispatch (desk, pool, worker sessions, election of the owner of a zone's workers), fleet (control hub, zone mesh); a manifest authority as policy of the control state; the adapter in platform/; deploy/system.toml. One owner holds all workers of its zone; control instances tell every entry the others of its zone, its workers and the configuration.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import typescript from "typescript-eslint";
 
 export default typescript.config(
-    { ignores: ["**/node_modules/**", "**/dist/**", "**/generated/**"] },
+    { ignores: ["**/node_modules/**", "**/dist/**", "target/**", "**/generated/**"] },
     ...typescript.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -3,9 +3,10 @@
     testEnvironment: "node",
     extensionsToTreatAsEsm: [".ts"],
     testMatch: ["**/tests/**/*.test.ts", "<rootDir>/scenarios/src/**/*.test.ts"],
-    modulePathIgnorePatterns: ["<rootDir>/dist"],
+    modulePathIgnorePatterns: ["<rootDir>/dist", "<rootDir>/target"],
     moduleNameMapper: {
         "^@anvilmux/stand-ins$": "<rootDir>/stand-ins/src/index.ts",
+        "^@anvilmux/platform$": "<rootDir>/platform/src/index.ts",
         "^@anvilmux/(.*)$": "<rootDir>/packages/$1/src/index.ts",
     },
     transform: {
--- a/packages/anvilmux/src/environment.ts
+++ b/packages/anvilmux/src/environment.ts
@@ -2,6 +2,7 @@
 
 import { newFolderFiles, newRandom, newSystemClock, newSystemTimers } from "@anvilmux/common";
 import type { Clock, Files, Random, Timers } from "@anvilmux/common";
+import type { ManifestAuthority } from "@anvilmux/manifest";
 
 export interface Environment {
     readonly clock: Clock;
@@ -11,6 +12,8 @@
     readonly openFolder: (folder: string) => Files;
     /** False for peer addresses that cannot be reached, to reproduce partitions. */
     readonly isReachable: (address: string) => boolean;
+    /** Who may hand over manifests; undefined requires signatures by the trusted keys of the settings. */
+    readonly authority?: ManifestAuthority;
 }
 
 export const newSystemEnvironment = (): Environment => ({
--- a/packages/anvilmux/src/index.ts
+++ b/packages/anvilmux/src/index.ts
@@ -10,6 +10,8 @@
 export * from "./errors";
 export { newApp } from "./http/PublicServer";
 export * from "./Instance";
+export * from "./roles/ControlInstance";
+export * from "./roles/DispatchEntry";
 export { defineBaseServices } from "./services/base";
 export { defineControlServices } from "./services/control";
 export { defineEntryServices } from "./services/entry";
--- /dev/null
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -0,0 +1,233 @@
+/**
+ * An entry that dispatches jobs which need not be stored: callers wait at its desk, one entry of the zone owns the
+ * zone's workers, and control tells the configuration, the other entries and the workers.
+ */
+
+import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
+import { ConfigurationHolder } from "@anvilmux/control";
+import { chooseTightest, JobDesk, Pool, QueueTable, ZoneElection } from "@anvilmux/dispatch";
+import type { ConnectWorker, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
+import { ControlLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
+import type { EntryMember } from "@anvilmux/fleet";
+import { ChannelChecker } from "@anvilmux/links";
+import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
+import type { Logger, Metrics } from "@anvilmux/telemetry";
+import type { Environment } from "../environment";
+
+export interface DispatchEntryOptions {
+    readonly instanceId: InstanceId;
+    readonly zone: ZoneId;
+    readonly host: string;
+    readonly linkPort: number;
+    /** Link addresses of some control instances. */
+    readonly controlSeeds: readonly Address[];
+    readonly authority: ManifestAuthority;
+    readonly connectWorker: ConnectWorker;
+    readonly environment: Environment;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+/** Time between two looks at who owns the zone's workers. */
+const electionPeriodMs = 50;
+
+export class DispatchEntry {
+    private readonly checker: ChannelChecker;
+    private readonly self: EntryMember;
+    private readonly holder: ConfigurationHolder;
+    private readonly workers = new WorkerDirectory();
+    private readonly desk: JobDesk;
+    private readonly election: ZoneElection;
+    private readonly mesh: ZoneMesh;
+    private control: ControlLinks | undefined;
+    private pool: Pool | undefined;
+    private queues = new QueueTable([]);
+    private leaving = false;
+    private unsubscribe: Unsubscribe = () => undefined;
+
+    constructor(private readonly options: DispatchEntryOptions) {
+        const { environment, logger, metrics, host, linkPort } = options;
+        const { clock, timers } = environment;
+        this.self = {
+            id: options.instanceId,
+            incarnation: Math.floor(clock.wallNow()),
+            zone: options.zone,
+            address: `${host}:${linkPort}` as Address,
+        };
+        this.checker = new ChannelChecker(clock, timers, stall => {
+            logger.warn("this process stood still", { stallMs: Math.round(stall) });
+        });
+        this.holder = new ConfigurationHolder({
+            authority: options.authority,
+            timers,
+            logger,
+            getPeers: () => [],
+            fetch: () => Promise.reject(new Error("configurations come from control")),
+        });
+        this.desk = new JobDesk({ getOwner: () => this.getOwner(), clock, timers, logger, metrics });
+        this.election = new ZoneElection({
+            selfId: this.self.id,
+            selfNumber: this.self.incarnation,
+            getCandidates: () => this.mesh.getCandidates(),
+            isEligible: () => this.isReady,
+            isIsolated: () => this.mesh.getCandidates().length === 0 && (this.control?.openCount ?? 0) === 0,
+            clock,
+            logger,
+            onClaim: claim => this.setClaim(claim),
+            onOwner: () => this.desk.noteOwnerChange(),
+        });
+        this.mesh = this.newMesh();
+    }
+
+    /** Rejects when a port cannot be taken. */
+    async start(): Promise<void> {
+        await this.mesh.start();
+        const { environment, controlSeeds, logger } = this.options;
+        this.control = new ControlLinks({
+            self: this.self,
+            seeds: controlSeeds,
+            checker: this.checker,
+            environment: { ...environment, logger },
+            getConfigurationIndex: () => this.holder.index,
+            onMembers: members => this.mesh.noteMembers(members),
+            onWorkers: announcements => this.noteWorkers(announcements),
+            onConfiguration: (index, envelope) => this.putConfiguration(index, envelope),
+        });
+        this.unsubscribe = environment.timers.every(electionPeriodMs, () => this.election.update());
+        this.options.metrics.gauge("anvilmux_open_jobs", {}, () => this.desk.openJobs);
+        this.options.metrics.gauge("anvilmux_waiting_jobs", {}, () => this.pool?.waitingJobs ?? 0);
+        this.options.metrics.gauge("anvilmux_configuration_index", {}, () => this.holder.index);
+    }
+
+    stop(): void {
+        this.unsubscribe();
+        this.pool?.stop();
+        this.control?.stop();
+        this.mesh.stop();
+        this.desk.stop();
+        this.checker.stop();
+    }
+
+    /** True once a configuration is in force here and the instance does not leave. */
+    get isReady(): boolean {
+        return this.holder.configuration !== undefined && !this.leaving;
+    }
+
+    get isConfigured(): boolean {
+        return this.holder.configuration !== undefined;
+    }
+
+    get openJobs(): number {
+        return this.desk.openJobs;
+    }
+
+    findQueue(host: string, path: string): Queue | undefined {
+        return this.queues.find(host, path);
+    }
+
+    /** Takes a job for a caller; the returned function tells that the caller is gone. */
+    accept(request: JobRequest, waiter: (answer: JobAnswer) => void): () => void {
+        return this.desk.accept(request, waiter);
+    }
+
+    /** Stops owning workers and being ready; jobs at this entry go on. */
+    leave(): void {
+        this.leaving = true;
+        this.options.logger.info("leaving", { openJobs: this.desk.openJobs });
+        this.election.update();
+        this.mesh.tellState();
+    }
+
+    private newMesh(): ZoneMesh {
+        const { environment, logger, host, linkPort } = this.options;
+        return new ZoneMesh({
+            self: this.self,
+            host,
+            port: linkPort,
+            checker: this.checker,
+            environment: { ...environment, logger },
+            getState: () => ({ claim: this.election.claim, eligible: this.isReady }),
+            onChange: () => this.election.update(),
+            onAnswer: (peerId, message) => this.desk.noteAnswer(peerId, message.id, message.answer),
+            onPeerLost: peerId => this.desk.noteOwnerLost(peerId),
+            onSubmit: (home, message, reply) => {
+                const { request } = message;
+                // Without a pool here the home learns of the next owner and hands the job over again.
+                this.pool?.submit(request, home, answer => reply({ type: "answer", id: request.id, answer }));
+            },
+            onCancel: (home, message) => this.pool?.cancel(message.id, home, "cancelled by its entry"),
+            onHomeLost: home => this.pool?.noteHomeLost(home),
+        });
+    }
+
+    private getOwner(): OwnerLink | undefined {
+        const { ownerId } = this.election;
+        if (ownerId === undefined) {
+            return undefined;
+        }
+        return ownerId === this.self.id ? this.getOwnPool() : {
+            id: ownerId,
+            submit: request => this.mesh.send(ownerId, { type: "submit", request }),
+            cancel: id => this.mesh.send(ownerId, { type: "cancel", id }),
+        };
+    }
+
+    private getOwnPool(): OwnerLink {
+        const { id } = this.self;
+        return {
+            id,
+            submit: request => {
+                this.pool?.submit(request, id, answer => this.desk.noteAnswer(id, request.id, answer));
+                return this.pool !== undefined;
+            },
+            cancel: jobId => this.pool?.cancel(jobId, id, "cancelled here"),
+        };
+    }
+
+    private setClaim(claim: number): void {
+        const isOwner = claim > 0;
+        if (isOwner && !this.pool) {
+            this.pool = this.newPool();
+            this.workers.getAll().forEach(worker => this.pool?.setWorker(worker));
+        }
+        else if (!isOwner) {
+            this.pool?.stop();
+            this.pool = undefined;
+            this.desk.noteOwnerLost(this.self.id);
+        }
+        this.mesh.tellState();
+    }
+
+    private newPool(): Pool {
+        const { environment, logger, metrics, connectWorker } = this.options;
+        return new Pool({
+            connect: connectWorker,
+            choose: chooseTightest,
+            getFence: () => this.election.claim,
+            onFenced: fence => this.election.noteFenced(fence),
+            clock: environment.clock,
+            timers: environment.timers,
+            logger,
+            metrics,
+        });
+    }
+
+    private noteWorkers(announcements: readonly WorkerAnnouncement[]): void {
+        for (const announcement of announcements) {
+            if (this.workers.note(announcement)) {
+                this.pool?.setWorker(announcement);
+            }
+        }
+    }
+
+    private putConfiguration(index: number, envelope: string): void {
+        if (this.holder.put(BigInt(index), Buffer.from(envelope))) {
+            this.queues = new QueueTable(this.holder.configuration?.manifest.queues ?? []);
+            this.election.update();
+        }
+    }
+}
+
+/** The time within which a job of a queue should be answered, from its longest task. */
+export const getObjective = (queue: Queue, longestEstimate: Milliseconds): Milliseconds =>
+    queue.stretch * longestEstimate + queue.targetLatencyMs;
--- a/packages/anvilmux/src/services/base.ts
+++ b/packages/anvilmux/src/services/base.ts
@@ -1,12 +1,14 @@
 /** Services without state of their own: settings, time, randomness, logs, metrics, spans and keys. */
 
 import type { Kernel } from "@anvilmux/kernel";
+import { newSignedAuthority } from "@anvilmux/manifest";
 import { DecisionLog, Metrics, newLogger, newTracing } from "@anvilmux/telemetry";
 import { readFileSync } from "node:fs";
 import type { Environment } from "../environment";
 import { InstanceError } from "../errors";
 import type { Settings } from "../settings";
 import {
+    authorityToken,
     clockToken,
     decisionsToken,
     loggerToken,
@@ -15,7 +17,6 @@
     settingsToken,
     timersToken,
     tracingToken,
-    trustedKeysToken,
 } from "../tokens";
 
 /** Reads a file named by a setting. */
@@ -46,7 +47,10 @@
         })
         .define({ token: metricsToken, start: () => new Metrics() })
         .define({ token: decisionsToken, start: () => new DecisionLog(environment.clock) })
-        .define({ token: trustedKeysToken, start: () => readTrustedKeys(settings["trusted-keys"]) })
+        .define({
+            token: authorityToken,
+            start: () => environment.authority ?? newSignedAuthority(readTrustedKeys(settings["trusted-keys"])),
+        })
         .define({
             token: tracingToken,
             start: () =>
--- a/packages/anvilmux/src/services/control.ts
+++ b/packages/anvilmux/src/services/control.ts
@@ -1,6 +1,7 @@
 /** Services of the control state: the replica of instances with a disk, the client, the configuration in force. */
 
 import { toAddress } from "@anvilmux/common";
+import type { Address } from "@anvilmux/common";
 import {
     ConfigurationHolder,
     consensusCallTimeoutMs,
@@ -16,6 +17,7 @@
 import type { Environment } from "../environment";
 import type { Settings } from "../settings";
 import {
+    authorityToken,
     clockToken,
     configurationToken,
     controlClientToken,
@@ -27,7 +29,6 @@
     peerServerToken,
     randomToken,
     timersToken,
-    trustedKeysToken,
     zoneViewToken,
 } from "../tokens";
 import { replicaRecordKey } from "../ZoneView";
@@ -38,7 +39,7 @@
     kernel
         .define({
             token: configurationToken,
-            requires: [zoneViewToken, networkToken, timersToken, loggerToken, metricsToken, trustedKeysToken],
+            requires: [zoneViewToken, networkToken, timersToken, loggerToken, metricsToken, authorityToken],
             start: () => startConfiguration(kernel),
             stop: holder => holder.stop(),
         })
@@ -67,7 +68,7 @@
 
 const startConfiguration = (kernel: Kernel): ConfigurationHolder => {
     const holder = new ConfigurationHolder({
-        trustedKeys: kernel.get(trustedKeysToken),
+        authority: kernel.get(authorityToken),
         timers: kernel.get(timersToken),
         logger: kernel.get(loggerToken),
         getPeers: () => kernel.get(zoneViewToken).getConfigurationPeers(),
@@ -82,7 +83,7 @@
 const startControl = async (kernel: Kernel, settings: Settings, environment: Environment): Promise<ControlService> => {
     const files = environment.openFolder(settings["data-folder"]);
     const storage = await ReplicaStorage.open(files, settings["instance-id"]);
-    const state = new ControlState();
+    const state = new ControlState(kernel.get(authorityToken));
     const configuration = kernel.get(configurationToken);
     const network = kernel.get(networkToken);
     const selfAddress = kernel.get(peerServerToken).address;
@@ -113,9 +114,9 @@
     const control = new ControlService({
         replica,
         selfAddress,
-        initialAddresses: settings["control-peers"].length > 0 ? settings["control-peers"] : [selfAddress],
+        initialAddresses: getInitialAddresses(settings, selfAddress),
         connect: address => network.consensus(address),
-        trustedKeys: kernel.get(trustedKeysToken),
+        authority: kernel.get(authorityToken),
         clock: kernel.get(clockToken),
         timers: kernel.get(timersToken),
         logger: kernel.get(loggerToken),
@@ -126,3 +127,11 @@
     kernel.get(metricsToken).gauge("anvilmux_control_leading", {}, () => replica.role === "leader" ? 1 : 0);
     return control;
 };
+
+/** The instances that form the first group; none when this instance may only join one. */
+const getInitialAddresses = (settings: Settings, selfAddress: Address): readonly Address[] => {
+    if (!settings["form-group"]) {
+        return [];
+    }
+    return settings["control-peers"].length > 0 ? settings["control-peers"] : [selfAddress];
+};
--- a/packages/anvilmux/src/settings.ts
+++ b/packages/anvilmux/src/settings.ts
@@ -47,6 +47,7 @@
         addresses.default([]),
         "Peer addresses of all control instances of a new deployment, this one included.",
     ),
+    "form-group": define(flag.default(true), "Whether this instance may form a new control group with its peers."),
     "peer-secrets": define(list.default([]), "Secrets shared by all instances; the first is sent.", true),
     "platform-token": define(z.string().default(""), "Token of upstreams and workers.", true),
     "operator-token": define(z.string().default(""), "Token of operators' commands.", true),
--- a/packages/control/src/ConfigurationHolder.ts
+++ b/packages/control/src/ConfigurationHolder.ts
@@ -5,8 +5,7 @@
 
 import { getErrorMessage, getSha256 } from "@anvilmux/common";
 import type { Address, Timers, Unsubscribe } from "@anvilmux/common";
-import { verifyEnvelope } from "@anvilmux/manifest";
-import type { Caller, Manifest, Service, TrustedKeys, WorkKind } from "@anvilmux/manifest";
+import type { Caller, Manifest, ManifestAuthority, Service, WorkKind } from "@anvilmux/manifest";
 import type { FetchConfigurationReply } from "@anvilmux/protocol";
 import { FetchConfigurationReplySchema } from "@anvilmux/protocol";
 import type { Logger } from "@anvilmux/telemetry";
@@ -33,7 +32,7 @@
 }
 
 export interface ConfigurationHolderOptions {
-    readonly trustedKeys: TrustedKeys;
+    readonly authority: ManifestAuthority;
     readonly timers: Timers;
     readonly logger: Logger;
     readonly getPeers: () => readonly ConfigurationPeer[];
@@ -81,7 +80,7 @@
             return false;
         }
         try {
-            const { manifest, digest } = verifyEnvelope(Buffer.from(envelope).toString(), this.options.trustedKeys);
+            const { manifest, digest } = this.options.authority.verify(Buffer.from(envelope).toString());
             this.current = newConfiguration(Number(index), digest, manifest, envelope);
         }
         catch (error) {
--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -5,8 +5,7 @@
 
 import { getErrorMessage, sleep } from "@anvilmux/common";
 import type { Address, Clock, Timers } from "@anvilmux/common";
-import { verifyEnvelope } from "@anvilmux/manifest";
-import type { TrustedKeys } from "@anvilmux/manifest";
+import type { ManifestAuthority } from "@anvilmux/manifest";
 import type {
     Command,
     CommandResult,
@@ -47,7 +46,7 @@
     /** Addresses of the control instances of a new deployment, this one included. */
     readonly initialAddresses: readonly Address[];
     readonly connect: (address: Address) => ConsensusClient;
-    readonly trustedKeys: TrustedKeys;
+    readonly authority: ManifestAuthority;
     readonly clock: Clock;
     readonly timers: Timers;
     readonly logger: Logger;
@@ -133,7 +132,7 @@
         const { kind } = command;
         if (kind.case === "manifest") {
             try {
-                verifyEnvelope(Buffer.from(kind.value.envelope).toString(), this.options.trustedKeys);
+                this.options.authority.verify(Buffer.from(kind.value.envelope).toString());
             }
             catch (error) {
                 return create(CommandResultSchema, { reason: "invalid-manifest", detail: getErrorMessage(error) });
--- a/packages/control/src/ControlState.ts
+++ b/packages/control/src/ControlState.ts
@@ -1,8 +1,8 @@
 /** The replicated state: the manifest in force with its history, and the claims of idempotency keys. */
 
-import { getErrorMessage, getSha256 } from "@anvilmux/common";
-import { envelopeSchema, parseManifest } from "@anvilmux/manifest";
-import type { Manifest } from "@anvilmux/manifest";
+import { getErrorMessage } from "@anvilmux/common";
+import { newSignedAuthority } from "@anvilmux/manifest";
+import type { ManifestAuthority, ReadManifest } from "@anvilmux/manifest";
 import type {
     ClaimCommand,
     ClaimRecord,
@@ -25,11 +25,9 @@
 const maximumHistoryEntries = 1_000;
 
 /** The accepted manifest. */
-export interface AcceptedManifest {
+export interface AcceptedManifest extends ReadManifest {
     readonly index: bigint;
     readonly envelope: Uint8Array;
-    readonly manifest: Manifest;
-    readonly digest: string;
 }
 
 export class ControlState {
@@ -38,6 +36,8 @@
     /** In order of their claim time, so that expired claims are at the front. */
     private claims = new Map<string, ClaimRecord>();
 
+    constructor(private readonly authority: ManifestAuthority = newSignedAuthority(new Map())) {}
+
     get manifest(): AcceptedManifest | undefined {
         return this.accepted;
     }
@@ -87,14 +87,14 @@
         this.claims = new Map(snapshot.claims.map(claim => [claim.key, claim]));
         this.history = [...snapshot.history];
         this.accepted = snapshot.manifestIndex > 0n
-            ? toAcceptedManifest(snapshot.manifestEnvelope, snapshot.manifestIndex)
+            ? this.readEnvelope(snapshot.manifestEnvelope, snapshot.manifestIndex)
             : undefined;
     }
 
     private applyManifest(envelope: Uint8Array, index: bigint): CommandResult {
         let candidate: AcceptedManifest;
         try {
-            candidate = toAcceptedManifest(envelope, index);
+            candidate = this.readEnvelope(envelope, index);
         }
         catch (error) {
             return newResult(false, index, "invalid-manifest", getErrorMessage(error));
@@ -113,29 +113,26 @@
         return newResult(true, index);
     }
 
-    /** The result for a candidate that is not newer, or drops a service silently; undefined to accept it. */
+    /** The result for a candidate that changes nothing; undefined to accept it. */
     private getManifestRefusal(candidate: AcceptedManifest): CommandResult | undefined {
         const current = this.accepted;
         if (!current) {
             return undefined;
         }
-        const { version } = candidate.manifest;
-        const currentVersion = current.manifest.version;
-        if (version === currentVersion && candidate.digest === current.digest) {
-            return newResult(true, current.index);
-        }
-        if (version === currentVersion) {
-            return newResult(false, candidate.index, "conflicting-version", `version ${version} has other content`);
-        }
-        if (version < currentVersion) {
-            return newResult(false, candidate.index, "stale-version", `version ${currentVersion} is in force`);
-        }
-        const dropped = getSilentlyDroppedServices(current.manifest, candidate.manifest);
-        if (dropped.length > 0) {
-            const names = dropped.join(", ");
-            return newResult(false, candidate.index, "dropped-service", `/droppedServices does not name: ${names}`);
+        const succession = this.authority.judge(current, candidate);
+        switch (succession.kind) {
+            case "accepted":
+                return undefined;
+            case "known":
+                return newResult(true, current.index);
+            case "refused":
+                return newResult(false, candidate.index, succession.reason, succession.detail);
         }
-        return undefined;
+    }
+
+    /** Reads an envelope that the leader verified before it proposed it. */
+    private readEnvelope(envelope: Uint8Array, index: bigint): AcceptedManifest {
+        return { index, envelope, ...this.authority.read(Buffer.from(envelope).toString()) };
     }
 
     private applyClaim(command: ClaimCommand, index: bigint): CommandResult {
@@ -200,15 +197,3 @@
 /** The result of a claim; `detail` names the holder. */
 const newClaimResult = (index: bigint, claimState: ClaimState, holder = "", answer?: Uint8Array): CommandResult =>
     create(CommandResultSchema, { accepted: true, index, claimState, detail: holder, ...(answer ? { answer } : {}) });
-
-/** Reads an envelope without checking its signature, which the leader did before proposing it. */
-const toAcceptedManifest = (envelope: Uint8Array, index: bigint): AcceptedManifest => {
-    const { manifest } = envelopeSchema.parse(JSON.parse(Buffer.from(envelope).toString()));
-    return { index, envelope, manifest: parseManifest(manifest), digest: getSha256(manifest) };
-};
-
-/** Services of `current` that `candidate` neither defines nor names as dropped. */
-const getSilentlyDroppedServices = (current: Manifest, candidate: Manifest): readonly string[] => {
-    const kept = new Set([...candidate.services.map(service => service.name), ...candidate.droppedServices]);
-    return current.services.map(service => service.name).filter(name => !kept.has(name));
-};
--- /dev/null
+++ b/packages/dispatch/src/EndedJobs.ts
@@ -0,0 +1,32 @@
+/** Answers of ended jobs, for callers that send a job again because its answer was lost. */
+
+import type { Clock, JobId, Milliseconds } from "@anvilmux/common";
+import { endedJobRetentionMs, maximumEndedJobs } from "./constants";
+import type { JobAnswer } from "./types";
+
+interface EndedJob {
+    readonly answer: JobAnswer;
+    readonly endedAt: Milliseconds;
+}
+
+export class EndedJobs {
+    /** In the order in which they ended. */
+    private readonly jobs = new Map<JobId, EndedJob>();
+
+    constructor(private readonly clock: Clock) {}
+
+    get(id: JobId): JobAnswer | undefined {
+        return this.jobs.get(id)?.answer;
+    }
+
+    remember(id: JobId, answer: JobAnswer): void {
+        const now = this.clock.now();
+        this.jobs.set(id, { answer, endedAt: now });
+        for (const [first, { endedAt }] of this.jobs) {
+            if (now - endedAt <= endedJobRetentionMs && this.jobs.size <= maximumEndedJobs) {
+                return;
+            }
+            this.jobs.delete(first);
+        }
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -0,0 +1,108 @@
+/** The workers that an owner holds: a session and a record for each, and the choice among them. */
+
+import type { Clock, Timers } from "@anvilmux/common";
+import type { Logger, Metrics } from "@anvilmux/telemetry";
+import type { Run, RunOutcome } from "./RunTable";
+import { fits } from "./types";
+import type { ConnectWorker, JobRequest, Room, WorkerAnnouncement, WorkerId } from "./types";
+import type { ChooseWorker } from "./workerChoice";
+import { WorkerRecord } from "./WorkerRecord";
+import { WorkerSession } from "./WorkerSession";
+
+export interface OwnedWorkersOptions {
+    readonly connect: ConnectWorker;
+    readonly choose: ChooseWorker;
+    readonly getFence: () => number;
+    /** Called when a worker obeys a higher token than `fence`. */
+    readonly onFenced: (fence: number) => void;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly onEnd: (session: WorkerSession, run: Run, outcome: RunOutcome) => void;
+    readonly onFound: (session: WorkerSession, run: Run) => void;
+    /** Called when a worker became usable or stopped being so. */
+    readonly onChange: () => void;
+}
+
+interface OwnedWorker {
+    readonly session: WorkerSession;
+    readonly record: WorkerRecord;
+}
+
+export class OwnedWorkers {
+    private readonly workers = new Map<WorkerId, OwnedWorker>();
+
+    constructor(private readonly options: OwnedWorkersOptions) {}
+
+    /** Takes a worker over, or takes note of what it says of itself now. */
+    set(announcement: WorkerAnnouncement): void {
+        const present = this.workers.get(announcement.id);
+        if (present) {
+            present.session.update(announcement);
+        }
+        else if (announcement.state !== "left") {
+            this.add(announcement);
+        }
+    }
+
+    /** Why a job can never run here; undefined when it can, or when too little is known. */
+    findLastingObstacle(request: JobRequest): string | undefined {
+        const rooms = [...this.workers.values()]
+            .filter(worker => worker.session.announcement.service === request.service)
+            .map(worker => worker.session.announcement.room);
+        const misfit = request.tasks.find(task => !rooms.some(room => fits(room, task)));
+        return rooms.length > 0 && misfit ? `no worker is large enough for task ${misfit.name}` : undefined;
+    }
+
+    /** True once every worker has listed its runs. */
+    areAllListed(): boolean {
+        return [...this.workers.values()].every(worker => worker.session.isListed);
+    }
+
+    choose(service: string, needed: Room, avoided: readonly WorkerSession[]): WorkerSession | undefined {
+        return this.options.choose({
+            sessions: [...this.workers.values()].map(worker => worker.session),
+            service,
+            needed,
+            avoided,
+            getPenalty: session => this.workers.get(session.id)?.record.getPenalty() ?? 0,
+        });
+    }
+
+    /** Notes a run that ended `done` after `ratio` times its expected time. */
+    noteDone(session: WorkerSession, ratio: number): void {
+        this.workers.get(session.id)?.record.noteDone(ratio);
+    }
+
+    /** Notes a run that failed; a worker that fails too often gets no task for a while. */
+    noteFailed(session: WorkerSession): void {
+        const pause = this.workers.get(session.id)?.record.noteFailed() ?? 0;
+        if (pause > 0) {
+            this.options.logger.warn("worker paused after failures", { worker: session.id, pauseMs: pause });
+            session.pause(pause);
+        }
+    }
+
+    close(): void {
+        this.workers.forEach(worker => worker.session.close());
+        this.workers.clear();
+    }
+
+    private add(announcement: WorkerAnnouncement): void {
+        const session = new WorkerSession({
+            ...this.options,
+            announcement,
+            driver: this.options.connect(announcement),
+            onGone: gone => this.remove(gone),
+        });
+        this.workers.set(announcement.id, { session, record: new WorkerRecord(this.options.clock) });
+    }
+
+    private remove(session: WorkerSession): void {
+        if (this.workers.get(session.id)?.session === session) {
+            this.workers.delete(session.id);
+            this.options.logger.info("worker gone", { worker: session.id });
+        }
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/QueueTable.ts
@@ -0,0 +1,21 @@
+/** Finds the queue of a job by the host and path under which it arrives. */
+
+import type { Queue } from "@anvilmux/manifest";
+
+export class QueueTable {
+    private readonly byHost = new Map<string, Queue[]>();
+
+    constructor(queues: readonly Queue[]) {
+        for (const queue of queues) {
+            const ofHost = this.byHost.get(queue.host) ?? [];
+            ofHost.push(queue);
+            this.byHost.set(queue.host, ofHost);
+        }
+        // Longest prefix first, so that the first that fits is the one.
+        this.byHost.forEach(ofHost => ofHost.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length));
+    }
+
+    find(host: string, path: string): Queue | undefined {
+        return this.byHost.get(host)?.find(queue => path.startsWith(queue.pathPrefix));
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/RunTable.ts
@@ -0,0 +1,90 @@
+/** The runs that are, or may be, alive on one worker, and the room they take. */
+
+import type { Milliseconds } from "@anvilmux/common";
+import { addRoom, subtractRoom } from "./types";
+import type { Room, RunEnd, TaskName, WorkerList } from "./types";
+
+/** How a run ended, as its owner knows it. `lost`: its lease is over or its worker began a new life. */
+export type RunOutcome = RunEnd | "lost" | "never-started" | "refused-old" | "refused" | "invalid";
+
+export interface Run {
+    readonly task: TaskName;
+    readonly run: number;
+    /** Undefined for a run that an earlier owner started. */
+    needs: Room | undefined;
+    readonly orderedAt: Milliseconds;
+    /** On the worker's clock: when a start without an answer can no longer be carried out. */
+    readonly startDeadline: Milliseconds;
+    state: "ordered" | "running" | "uncertain";
+    stopOrderedAt: Milliseconds | undefined;
+    percent: number;
+}
+
+type NewRun = Pick<Run, "task" | "run" | "needs" | "orderedAt" | "startDeadline">;
+
+export const newRun = (given: NewRun): Run => ({
+    ...given,
+    state: "ordered",
+    stopOrderedAt: undefined,
+    percent: 0,
+});
+
+export class RunTable {
+    private readonly runs = new Map<TaskName, Run>();
+    private usedRoom: Room = { millicores: 0, memoryMebibytes: 0, accelerators: 0 };
+
+    get size(): number {
+        return this.runs.size;
+    }
+
+    /** Room taken by all runs of known size. */
+    get used(): Room {
+        return this.usedRoom;
+    }
+
+    get(task: TaskName): Run | undefined {
+        return this.runs.get(task);
+    }
+
+    getAll(): readonly Run[] {
+        return [...this.runs.values()];
+    }
+
+    /** True while runs of unknown size, started by an earlier owner, go on. */
+    hasUnknownRuns(): boolean {
+        return this.getAll().some(run => !run.needs);
+    }
+
+    add(run: Run): void {
+        this.runs.set(run.task, run);
+        if (run.needs) {
+            this.usedRoom = addRoom(this.usedRoom, run.needs);
+        }
+    }
+
+    /** Counts the room of a run that an earlier owner started. */
+    setNeeds(run: Run, needs: Room): void {
+        if (!run.needs) {
+            run.needs = needs;
+            this.usedRoom = addRoom(this.usedRoom, needs);
+        }
+    }
+
+    remove(run: Run): void {
+        this.runs.delete(run.task);
+        if (run.needs) {
+            this.usedRoom = subtractRoom(this.usedRoom, run.needs);
+        }
+    }
+
+    /** Runs that a whole list, asked for at `sentAt`, shows to be neither running nor able to begin any more. */
+    findMissing(list: WorkerList, sentAt: Milliseconds): readonly Run[] {
+        const listed = new Map(list.running.map(item => [item.task, item.run]));
+        return this.getAll().filter(run => {
+            if (listed.get(run.task) === run.run || run.orderedAt >= sentAt) {
+                return false;
+            }
+            return run.state === "running" || (run.state === "uncertain" && list.clock > run.startDeadline);
+        });
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -0,0 +1,145 @@
+/**
+ * Who owns the zone's workers: the entry with the highest claim among those that are heard. An entry claims when no
+ * entry that is heard does and no other comes before it. Claims are fencing tokens, so that workers settle the rest.
+ */
+
+import type { Clock, Milliseconds } from "@anvilmux/common";
+import type { Logger } from "@anvilmux/telemetry";
+import { electionSettlingMs } from "./constants";
+
+/** Another entry of the zone, as it was heard last. */
+export interface Candidate {
+    readonly id: string;
+    readonly claim: number;
+    /** False when it leaves or is not ready. */
+    readonly eligible: boolean;
+}
+
+export interface ZoneElectionOptions {
+    readonly selfId: string;
+    /** Sets this entry's tokens apart from those of others that claim in the same millisecond. */
+    readonly selfNumber: number;
+    /** The entries that are heard now, without this one. */
+    readonly getCandidates: () => readonly Candidate[];
+    /** True when this entry may own workers. */
+    readonly isEligible: () => boolean;
+    /** True when neither another entry nor control is heard: this entry is probably the one that is cut off. */
+    readonly isIsolated: () => boolean;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Called when this entry's claim changes; 0 is no claim. */
+    readonly onClaim: (claim: number) => void;
+    readonly onOwner: (ownerId: string | undefined) => void;
+}
+
+const tokensPerMillisecond = 1_024;
+/** Milliseconds by which a refused token is raised, doubled with each further refusal. */
+const firstTokenStepMs = 1_000;
+/** Time an entry that hears nobody waits before it claims, and after it had to yield. */
+const isolatedPatienceMs = 1_500;
+const isolatedYieldMs = 3_000;
+
+export class ZoneElection {
+    private claimed = 0;
+    private owner: string | undefined;
+    private ownerlessSince: Milliseconds | undefined;
+    private raises = 0;
+    private highestSeen = 0;
+    private yieldsUntil: Milliseconds = 0;
+
+    constructor(private readonly options: ZoneElectionOptions) {}
+
+    /** This entry's claim; 0 when it makes none. */
+    get claim(): number {
+        return this.claimed;
+    }
+
+    get ownerId(): string | undefined {
+        return this.owner;
+    }
+
+    get isOwner(): boolean {
+        return this.owner === this.options.selfId;
+    }
+
+    /** Looks again at who is heard; called when something changed and regularly. */
+    update(): void {
+        const candidates = this.options.getCandidates();
+        this.noteTokens(candidates);
+        const highest = candidates.reduce<Candidate | undefined>(
+            (best, candidate) => candidate.claim > (best?.claim ?? 0) ? candidate : best,
+            undefined,
+        );
+        if (this.claimed > 0 && (!this.options.isEligible() || (highest?.claim ?? 0) > this.claimed)) {
+            this.setClaim(0, highest ? `"${highest.id}" claims with a higher token` : "this entry leaves");
+        }
+        if (this.claimed === 0 && !highest) {
+            this.considerClaiming(candidates);
+        }
+        else {
+            this.ownerlessSince = undefined;
+        }
+        this.setOwner(this.claimed > 0 ? this.options.selfId : highest?.id);
+    }
+
+    /** A worker obeys a higher token than `token`: the claim is raised, or given up when it changed in between. */
+    noteFenced(token: number): void {
+        if (token !== this.claimed) {
+            return;
+        }
+        if (this.options.isIsolated()) {
+            this.yieldsUntil = this.options.clock.now() + isolatedYieldMs;
+            this.setClaim(0, "a worker obeys a higher token while this entry hears nobody");
+            this.update();
+            return;
+        }
+        this.raises += 1;
+        const raised = token + firstTokenStepMs * tokensPerMillisecond * 2 ** Math.min(this.raises, 20);
+        this.setClaim(raised, "a worker obeys a higher token");
+    }
+
+    private noteTokens(candidates: readonly Candidate[]): void {
+        this.highestSeen = Math.max(this.highestSeen, this.claimed, ...candidates.map(candidate => candidate.claim));
+    }
+
+    private considerClaiming(candidates: readonly Candidate[]): void {
+        const { clock, selfId, isEligible } = this.options;
+        const now = clock.now();
+        this.ownerlessSince ??= now;
+        const first = [...candidates.filter(candidate => candidate.eligible).map(candidate => candidate.id), selfId]
+            .sort()[0];
+        const isTooEarly = now < this.yieldsUntil || now - this.ownerlessSince < this.getPatience();
+        if (!isEligible() || first !== selfId || isTooEarly) {
+            return;
+        }
+        const fromClock = Math.floor(clock.wallNow()) * tokensPerMillisecond;
+        const base = Math.max(fromClock, this.highestSeen + tokensPerMillisecond);
+        const token = base - base % tokensPerMillisecond + this.options.selfNumber % tokensPerMillisecond;
+        this.setClaim(token, "no entry that is heard claims");
+    }
+
+    /** An owner that was known leaves a gap worth closing at once; at the start others may still be joining. */
+    private getPatience(): Milliseconds {
+        if (this.options.isIsolated()) {
+            return isolatedPatienceMs;
+        }
+        return this.highestSeen > 0 ? 0 : electionSettlingMs;
+    }
+
+    private setClaim(claim: number, reason: string): void {
+        this.claimed = claim;
+        this.options.logger.info(claim > 0 ? "claims the zone's workers" : "gives the zone's workers up", {
+            claim,
+            reason,
+        });
+        this.options.onClaim(claim);
+    }
+
+    private setOwner(ownerId: string | undefined): void {
+        if (this.owner !== ownerId) {
+            this.options.logger.info("owner of the zone's workers", { owner: ownerId, before: this.owner });
+            this.owner = ownerId;
+            this.options.onOwner(ownerId);
+        }
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/constants.ts
@@ -0,0 +1,45 @@
+/** Periods and bounds of dispatching tasks to workers. */
+
+/** Longest lease a worker grants; longer ones are shortened by the worker. */
+export const workerLeaseMs = 1_000;
+/** A worker's steady clock may be this share slower than ours. */
+export const workerClockDrift = 0.021;
+/** Slack added to a lease before it counts as over. */
+export const leaseMarginMs = 30;
+/** Time a watch of a worker may wait for the end of a run. */
+export const watchWaitMs = 450;
+/** Time after the wait within which a watch must be answered. */
+export const watchGraceMs = 350;
+/** Time a start or stop order may take to be answered. */
+export const orderTimeoutMs = 300;
+/** A start that reaches the worker later than this is refused by the worker. */
+export const startValidityMs = 400;
+/** Ends that finish within this time are taken note of by one look. */
+export const endGatherMs = 2;
+export const firstRetryPauseMs = 100;
+export const longestRetryPauseMs = 2_000;
+/** Time after which a stop that was not carried out is ordered again. */
+export const stopRepeatMs = 250;
+/** Most ends that a worker lists at once. */
+export const maximumListedEnds = 500;
+
+/** Time a run without a job is left alone, so that its job can come back through another entry. */
+export const orphanGraceMs = 400;
+/** Time after a change of owner in which runs of an unreachable worker may go on: its old owner's patience and lease. */
+export const takeoverUncertaintyMs = 1_900;
+/** Ended jobs are remembered for this long, for callers that ask again. */
+export const endedJobRetentionMs = 6_000;
+export const maximumEndedJobs = 20_000;
+/** Time between two looks at waiting jobs. */
+export const poolTickMs = 20;
+/** Waiting tasks behind one that finds no room that may pass it in one look. */
+export const maximumPassedOver = 12;
+
+/** Share of its objective that a job may wait before it is refused for want of room. */
+export const patienceShare = 0.24;
+/** Advice to callers that were refused for want of room. */
+export const refusalRetryMs = 1_000;
+/** Time a job may wait at an entry that knows no owner of the zone's workers. */
+export const ownerlessPatienceMs = 300;
+/** Age at which a claim of ownership without an answer of its peers counts as settled. */
+export const electionSettlingMs = 400;
--- /dev/null
+++ b/packages/fleet/src/ControlHub.ts
@@ -0,0 +1,150 @@
+/**
+ * The control side of the connections to entries: tells each entry the others of its zone, the workers of its zone
+ * and the configuration in force. Everything here is learned again after a restart.
+ */
+
+import type { Address } from "@anvilmux/common";
+import type { WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
+import { LinkServer } from "@anvilmux/links";
+import type { ChannelChecker, LinkEnvironment, Session } from "@anvilmux/links";
+import type { Metrics } from "@anvilmux/telemetry";
+import type { EntryMember, FromControl, ToControl } from "./messages";
+import { WorkerDirectory } from "./WorkerDirectory";
+
+/** The configuration in force at this control instance. */
+export interface ConfigurationSource {
+    readonly getIndex: () => number;
+    readonly getEnvelope: () => string;
+}
+
+export interface ControlHubOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly checker: ChannelChecker;
+    readonly environment: LinkEnvironment;
+    readonly metrics: Metrics;
+    readonly configuration: ConfigurationSource;
+    /** Link addresses of the control instances known now. */
+    readonly getControlAddresses: () => readonly Address[];
+}
+
+interface ConnectedEntry {
+    readonly send: (message: FromControl) => void;
+    member: EntryMember | undefined;
+}
+
+export class ControlHub {
+    private readonly entries = new Set<ConnectedEntry>();
+    private readonly workers = new WorkerDirectory();
+    private server: LinkServer<ToControl, FromControl> | undefined;
+
+    constructor(private readonly options: ControlHubOptions) {
+        options.metrics.gauge("anvilmux_connected_entries", {}, () => this.entries.size);
+    }
+
+    async start(): Promise<void> {
+        const { host, port, checker, environment } = this.options;
+        this.server = await LinkServer.listen<ToControl, FromControl>(environment, {
+            host,
+            port,
+            checker,
+            accept: send => this.accept(send),
+        });
+    }
+
+    stop(): void {
+        this.server?.close();
+    }
+
+    /** Takes note of a worker's announcement and tells the entries of its zone when it is news. */
+    noteWorker(announcement: WorkerAnnouncement): void {
+        if (!this.workers.note(announcement)) {
+            return;
+        }
+        this.logWorker(announcement);
+        this.tellZone(announcement.zone, { type: "workers", workers: [announcement] });
+    }
+
+    noteWorkerLeft(id: WorkerId): void {
+        const left = this.workers.noteLeft(id);
+        if (left) {
+            this.logWorker(left);
+            this.tellZone(left.zone, { type: "workers", workers: [left] });
+        }
+    }
+
+    /** Tells all entries that another configuration is in force. */
+    announceConfiguration(): void {
+        const index = this.options.configuration.getIndex();
+        this.entries.forEach(entry => entry.send({ type: "configuration-notice", index }));
+    }
+
+    private logWorker(announcement: WorkerAnnouncement): void {
+        this.options.environment.logger.info("worker announced", {
+            worker: announcement.id,
+            state: announcement.state,
+            address: announcement.address,
+            workerZone: announcement.zone,
+            sequence: announcement.sequence,
+        });
+    }
+
+    private tellZone(zone: string, message: FromControl): void {
+        for (const entry of this.entries) {
+            if (entry.member?.zone === zone) {
+                entry.send(message);
+            }
+        }
+    }
+
+    private accept(send: (message: FromControl) => void): Session<ToControl> {
+        const entry: ConnectedEntry = { send, member: undefined };
+        this.entries.add(entry);
+        return {
+            onMessage: message => this.receive(entry, message),
+            onClose: reason => {
+                this.entries.delete(entry);
+                const { member } = entry;
+                this.options.environment.logger.warn("entry lost", { entry: member?.id, reason });
+                if (member) {
+                    this.tellMembers(member.zone);
+                }
+            },
+        };
+    }
+
+    private receive(entry: ConnectedEntry, message: ToControl): void {
+        switch (message.type) {
+            case "hello":
+                this.welcome(entry, message.member, message.configurationIndex);
+                return;
+            case "fetch-configuration":
+                this.sendConfiguration(entry, message.knownIndex);
+        }
+    }
+
+    private welcome(entry: ConnectedEntry, member: EntryMember, knownIndex: number): void {
+        entry.member = member;
+        this.options.environment.logger.info("entry connected", { entry: member.id, entryZone: member.zone });
+        this.tellMembers(member.zone);
+        const workers = this.workers.getAll().filter(worker => worker.zone === member.zone);
+        entry.send({ type: "workers", workers });
+        const index = this.options.configuration.getIndex();
+        if (index > knownIndex) {
+            entry.send({ type: "configuration-notice", index });
+        }
+    }
+
+    private sendConfiguration(entry: ConnectedEntry, knownIndex: number): void {
+        const { configuration } = this.options;
+        const index = configuration.getIndex();
+        if (index > knownIndex) {
+            entry.send({ type: "configuration", index, envelope: configuration.getEnvelope() });
+        }
+    }
+
+    private tellMembers(zone: string): void {
+        const members = [...this.entries].flatMap(entry => entry.member?.zone === zone ? [entry.member] : []);
+        this.tellZone(zone, { type: "members", members, control: this.options.getControlAddresses() });
+    }
+}
--- /dev/null
+++ b/packages/links/src/Link.ts
@@ -0,0 +1,102 @@
+/** The calling end of a held connection: connects, and connects again whenever the connection is lost. */
+
+import type { Address, Milliseconds, Unsubscribe } from "@anvilmux/common";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { Channel } from "./Channel";
+import type { ChannelChecker } from "./ChannelChecker";
+import { connectTimeoutMs, firstReconnectPauseMs, longestReconnectPauseMs } from "./constants";
+import type { LinkEnvironment, LinkMessage } from "./types";
+
+export interface LinkOptions<Incoming extends LinkMessage> {
+    readonly address: Address;
+    readonly checker: ChannelChecker;
+    readonly onOpen: () => void;
+    readonly onMessage: (message: Incoming) => void;
+    readonly onClose: (reason: string) => void;
+}
+
+export class Link<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
+    private channel: Channel<Incoming, Outgoing> | undefined;
+    private pause: Milliseconds = firstReconnectPauseMs;
+    private cancelReconnect: Unsubscribe = () => undefined;
+    private stopped = false;
+
+    constructor(private readonly environment: LinkEnvironment, private readonly options: LinkOptions<Incoming>) {
+        this.connect();
+    }
+
+    get address(): Address {
+        return this.options.address;
+    }
+
+    get isOpen(): boolean {
+        return this.channel?.isOpen ?? false;
+    }
+
+    /** Sends a message; false when the link is not open. */
+    send(message: Outgoing): boolean {
+        this.channel?.send(message);
+        return this.isOpen;
+    }
+
+    stop(): void {
+        this.stopped = true;
+        this.cancelReconnect();
+        this.channel?.close("stopped");
+    }
+
+    private connect(): void {
+        const { host, port } = splitAddress(this.options.address);
+        const socket = connect({ host, port });
+        let settled = false;
+        const fail = () => {
+            if (!settled) {
+                settled = true;
+                socket.destroy();
+                this.planReconnect();
+            }
+        };
+        const cancelTimeout = this.environment.timers.after(connectTimeoutMs, fail);
+        this.cancelReconnect = () => {
+            cancelTimeout();
+            settled = true;
+            socket.destroy();
+        };
+        socket.on("error", fail);
+        socket.once("connect", () => {
+            cancelTimeout();
+            if (!settled) {
+                settled = true;
+                this.open(socket);
+            }
+        });
+    }
+
+    private open(socket: Socket): void {
+        this.pause = firstReconnectPauseMs;
+        this.channel = new Channel<Incoming, Outgoing>(socket, this.environment.clock, {
+            onMessage: this.options.onMessage,
+            onClose: reason => {
+                this.channel = undefined;
+                this.options.onClose(reason);
+                this.planReconnect();
+            },
+        });
+        this.options.checker.add(this.channel);
+        this.options.onOpen();
+    }
+
+    private planReconnect(): void {
+        if (this.stopped) {
+            return;
+        }
+        this.cancelReconnect = this.environment.timers.after(this.pause, () => this.connect());
+        this.pause = Math.min(longestReconnectPauseMs, this.pause * 2);
+    }
+}
+
+const splitAddress = (address: Address): { readonly host: string; readonly port: number; } => {
+    const separator = address.lastIndexOf(":");
+    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+};
--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -1,4 +1,5 @@
 /** The manifest: the generated, signed release document that operators' pipelines hand over. */
+export * from "./authority";
 export * from "./constants";
 export * from "./errors";
 export * from "./parseManifest";
--- a/packages/manifest/src/schema.ts
+++ b/packages/manifest/src/schema.ts
@@ -11,6 +11,7 @@
 } from "./constants";
 
 const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, "use lower-case letters, digits and dashes, at most 63");
+const queueName = z.string().min(1).max(253);
 const positiveMilliseconds = z.number().positive().max(86_400_000);
 
 export const workKindSchema = z.strictObject({
@@ -45,10 +46,23 @@
     jobs: z.boolean().default(false),
 });
 
+export const queueSchema = z.strictObject({
+    name: queueName,
+    host: queueName.describe("Host name under which jobs of the queue arrive."),
+    pathPrefix: z.string().startsWith("/").max(1_024).describe("The longest prefix that fits selects the queue."),
+    service: queueName.describe("Service whose workers run the tasks."),
+    priority: z.int().nonnegative().default(0).describe("0 goes first."),
+    attempts: z.int().positive().default(1).describe("Times a task may fail until its job has failed."),
+    stretch: z.number().positive().default(1).describe("Wanted time of a job as a multiple of its longest task."),
+    targetLatencyMs: z.number().nonnegative().max(86_400_000).default(0).describe("Added to the stretched time."),
+    timeoutMs: positiveMilliseconds.describe("Longest time a caller waits when it does not say."),
+});
+
 export const manifestSchema = z.strictObject({
     format: z.literal(manifestFormat),
     version: z.int().positive(),
     services: z.array(serviceSchema).default([]),
+    queues: z.array(queueSchema).default([]).describe("Queues of jobs that need not be stored."),
     droppedServices: z.array(name).default([]).describe("Services of the version before that end with this one."),
     teams: z.array(teamSchema).default([]),
     callers: z.array(callerSchema).default([]),
@@ -69,6 +83,7 @@
 
 export type WorkKind = Readonly<z.infer<typeof workKindSchema>>;
 export type Service = Readonly<z.infer<typeof serviceSchema>>;
+export type Queue = Readonly<z.infer<typeof queueSchema>>;
 export type Team = Readonly<z.infer<typeof teamSchema>>;
 export type Caller = Readonly<z.infer<typeof callerSchema>>;
 export type Manifest = Readonly<z.infer<typeof manifestSchema>>;
