Tasks that find no room in their zone go to the zone with the most room

Ruled out: waiting longer in the own zone; the zone is short for seconds, an objective is 140 ms for the shortest jobs. Change: the owner of a zone hands waiting tasks that fit into the room another zone's owner reported (every 100 ms, on change) over a held connection; the other owner starts them at once or refuses. The home is told first, so that a new owner does not start them again before they have surely ended. Pool parted by subject (JobTable, TaskSpiller).

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -5,10 +5,10 @@
 
 import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
 import { ConfigurationHolder } from "@anvilmux/control";
-import { chooseTightest, JobDesk, Pool, QueueTable, ZoneElection } from "@anvilmux/dispatch";
+import { chooseTightest, JobDesk, Pool, QueueTable, roomReportPeriodMs, ZoneElection } from "@anvilmux/dispatch";
 import type { ConnectWorker, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
-import { ControlLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
-import type { EntryMember } from "@anvilmux/fleet";
+import { ControlLinks, OwnerLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
+import type { EntryMember, FromPeer, ZoneOwner } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
 import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
@@ -41,6 +41,9 @@
     private readonly mesh: ZoneMesh;
     private control: ControlLinks | undefined;
     private pool: Pool | undefined;
+    private ownerLinks: OwnerLinks | undefined;
+    private owners: readonly ZoneOwner[] = [];
+    private lastRoomReport = "";
     private queues = new QueueTable([]);
     private leaving = false;
     private unsubscribe: Unsubscribe = () => undefined;
@@ -90,10 +93,16 @@
             environment: { ...environment, logger },
             getConfigurationIndex: () => this.holder.index,
             onMembers: members => this.mesh.noteMembers(members),
+            getClaim: () => this.election.claim,
+            onOwners: owners => this.noteOwners(owners),
             onWorkers: announcements => this.noteWorkers(announcements),
             onConfiguration: (index, envelope) => this.putConfiguration(index, envelope),
         });
-        this.unsubscribe = environment.timers.every(electionPeriodMs, () => this.election.update());
+        const unsubscribers = [
+            environment.timers.every(electionPeriodMs, () => this.election.update()),
+            environment.timers.every(roomReportPeriodMs, () => this.reportRoom()),
+        ];
+        this.unsubscribe = () => unsubscribers.forEach(unsubscribe => unsubscribe());
         this.options.metrics.gauge("anvilmux_open_jobs", {}, () => this.desk.openJobs);
         this.options.metrics.gauge("anvilmux_waiting_jobs", {}, () => this.pool?.waitingJobs ?? 0);
         this.options.metrics.gauge("anvilmux_configuration_index", {}, () => this.holder.index);
@@ -102,6 +111,7 @@
     stop(): void {
         this.unsubscribe();
         this.pool?.stop();
+        this.ownerLinks?.stop();
         this.control?.stop();
         this.mesh.stop();
         this.desk.stop();
@@ -148,18 +158,27 @@
             environment: { ...environment, logger },
             getState: () => ({ claim: this.election.claim, eligible: this.isReady }),
             onChange: () => this.election.update(),
-            onAnswer: (peerId, message) => this.desk.noteAnswer(peerId, message.id, message.answer),
+            onReply: (peerId, message) => this.noteReply(peerId, message),
             onPeerLost: peerId => this.desk.noteOwnerLost(peerId),
             onSubmit: (home, message, reply) => {
-                const { request } = message;
-                // Without a pool here the home learns of the next owner and hands the job over again.
-                this.pool?.submit(request, home, answer => reply({ type: "answer", id: request.id, answer }));
+                this.takeFromPeer(message.request, home, reply);
             },
             onCancel: (home, message) => this.pool?.cancel(message.id, home, "cancelled by its entry"),
             onHomeLost: home => this.pool?.noteHomeLost(home),
         });
     }
 
+    private takeFromPeer(request: JobRequest, home: string, reply: (message: FromPeer) => void): void {
+        const answer = (given: JobAnswer) => reply({ type: "answer", id: request.id, answer: given });
+        if (this.pool) {
+            this.pool.submit(request, { key: home, answer, noteAway: () => reply({ type: "away", id: request.id }) });
+        }
+        else if (request.spilled) {
+            answer({ kind: "refused", reason: "this entry owns no workers", retryAfterMs: 0 });
+        }
+        // An entry of this zone learns of the next owner and hands its job over again.
+    }
+
     private getOwner(): OwnerLink | undefined {
         const { ownerId } = this.election;
         if (ownerId === undefined) {
@@ -177,7 +196,12 @@
         return {
             id,
             submit: request => {
-                this.pool?.submit(request, id, answer => this.desk.noteAnswer(id, request.id, answer));
+                this.pool?.submit(request, {
+                    key: id,
+                    answer: answer => this.desk.noteAnswer(id, request.id, answer),
+                    // Desk and pool are lost together.
+                    noteAway: () => undefined,
+                });
                 return this.pool !== undefined;
             },
             cancel: jobId => this.pool?.cancel(jobId, id, "cancelled here"),
@@ -188,14 +212,55 @@
         const isOwner = claim > 0;
         if (isOwner && !this.pool) {
             this.pool = this.newPool();
+            this.ownerLinks = this.newOwnerLinks();
+            this.ownerLinks.noteOwners(this.owners);
             this.workers.getAll().forEach(worker => this.pool?.setWorker(worker));
         }
         else if (!isOwner) {
             this.pool?.stop();
             this.pool = undefined;
+            this.ownerLinks?.stop();
+            this.ownerLinks = undefined;
             this.desk.noteOwnerLost(this.self.id);
         }
         this.mesh.tellState();
+        this.control?.tellClaim();
+    }
+
+    private newOwnerLinks(): OwnerLinks {
+        const { environment, logger } = this.options;
+        return new OwnerLinks({
+            self: this.self,
+            checker: this.checker,
+            environment: { ...environment, logger },
+            onAnswer: (zone, id, answer) => this.pool?.noteRemoteAnswer(zone, id, answer),
+            onLost: zone => this.pool?.noteRemoteLost(zone),
+        });
+    }
+
+    private noteOwners(owners: readonly ZoneOwner[]): void {
+        this.owners = owners;
+        this.ownerLinks?.noteOwners(owners);
+    }
+
+    private noteReply(peerId: string, message: FromPeer): void {
+        switch (message.type) {
+            case "answer":
+                this.desk.noteAnswer(peerId, message.id, message.answer);
+                return;
+            case "away":
+                this.desk.noteAway(peerId, message.id);
+        }
+    }
+
+    /** Tells the owners of other zones what room is here, when it has changed. */
+    private reportRoom(): void {
+        const free = this.pool?.getFreeRoom() ?? {};
+        const text = JSON.stringify(free);
+        if (text !== this.lastRoomReport) {
+            this.lastRoomReport = text;
+            this.mesh.tellRoom(free);
+        }
     }
 
     private newPool(): Pool {
@@ -203,6 +268,7 @@
         return new Pool({
             connect: connectWorker,
             choose: chooseTightest,
+            getRemotePools: () => this.ownerLinks?.getPools() ?? [],
             getFence: () => this.election.claim,
             onFenced: fence => this.election.noteFenced(fence),
             clock: environment.clock,
--- a/packages/dispatch/src/JobDesk.ts
+++ b/packages/dispatch/src/JobDesk.ts
@@ -31,6 +31,7 @@
     readonly waiters: Set<(answer: JobAnswer) => void>;
     ownerId: string | undefined;
     everSubmitted: boolean;
+    mayRunElsewhere: boolean;
 }
 
 export class JobDesk {
@@ -59,6 +60,7 @@
                 waiters: new Set(),
                 ownerId: undefined,
                 everSubmitted: false,
+                mayRunElsewhere: false,
             };
             this.jobs.set(request.id, job);
         }
@@ -76,6 +78,14 @@
         this.answer(job, answer);
     }
 
+    /** Takes note that an owner hands tasks of the job to another zone. */
+    noteAway(ownerId: string, id: JobId): void {
+        const job = this.jobs.get(id);
+        if (job?.ownerId === ownerId) {
+            job.mayRunElsewhere = true;
+        }
+    }
+
     /** Hands all open jobs to the owner that is in charge now. */
     noteOwnerChange(): void {
         this.jobs.forEach(job => this.hand(job));
@@ -100,6 +110,7 @@
         const request: JobRequest = {
             ...job.request,
             resubmitted: job.everSubmitted,
+            mayRunElsewhere: job.mayRunElsewhere,
             objectiveMs: job.request.objectiveMs - elapsed,
             remainingMs: job.request.remainingMs - elapsed,
         };
--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -2,9 +2,10 @@
 
 import type { Clock, Timers } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
+import { maximumToldWorkers } from "./constants";
 import type { Run, RunOutcome } from "./RunTable";
 import { fits } from "./types";
-import type { ConnectWorker, JobRequest, Room, WorkerAnnouncement, WorkerId } from "./types";
+import type { ConnectWorker, FreeRoom, JobRequest, Room, WorkerAnnouncement, WorkerId } from "./types";
 import type { ChooseWorker } from "./workerChoice";
 import { WorkerRecord } from "./WorkerRecord";
 import { WorkerSession } from "./WorkerSession";
@@ -60,6 +61,21 @@
         return [...this.workers.values()].every(worker => worker.session.isListed);
     }
 
+    /** Free processors by service on the workers that take tasks, those with the most first. */
+    getFreeRoom(): FreeRoom {
+        const byService = new Map<string, number[]>();
+        for (const { session } of this.workers.values()) {
+            const { service } = session.announcement;
+            if (session.isUsable && session.free.millicores > 0) {
+                byService.set(service, [...byService.get(service) ?? [], session.free.millicores]);
+            }
+        }
+        return Object.fromEntries([...byService].map(([service, free]) => [
+            service,
+            free.sort((left, right) => right - left).slice(0, maximumToldWorkers),
+        ]));
+    }
+
     choose(service: string, needed: Room, avoided: readonly WorkerSession[]): WorkerSession | undefined {
         return this.options.choose({
             sessions: [...this.workers.values()].map(worker => worker.session),
--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -4,29 +4,30 @@
  */
 
 import type { JobId, Milliseconds, Unsubscribe } from "@anvilmux/common";
-import { maximumPassedOver, orphanGraceMs, poolTickMs, refusalRetryMs, takeoverUncertaintyMs } from "./constants";
+import { maximumPassedOver, orphanGraceMs, poolTickMs, refusalRetryMs, spilledGraceMs } from "./constants";
 import { EndedJobs } from "./EndedJobs";
-import { insertInOrder } from "./jobOrder";
+import { JobTable } from "./JobTable";
 import { OwnedWorkers } from "./OwnedWorkers";
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
-import { newPoolJob } from "./PoolJob";
+import { getUncertaintyEnd, newPoolJob, placeTask } from "./PoolJob";
 import type { PoolJob, PoolTask } from "./PoolJob";
 import { getFirstRun } from "./runNumbers";
 import type { Run, RunOutcome } from "./RunTable";
-import type { JobAnswer, JobRequest, TaskName, WorkerAnnouncement } from "./types";
+import { hasSameTasks } from "./spill";
+import { TaskSpiller } from "./TaskSpiller";
+import type { TaskSpillerOptions } from "./TaskSpiller";
+import type { FreeRoom, JobAnswer, JobHome, JobRequest, TaskName, WorkerAnnouncement } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
-export type PoolOptions = Omit<OwnedWorkersOptions, "onEnd" | "onFound" | "onChange">;
+export type PoolOptions = Omit<OwnedWorkersOptions, "onEnd" | "onFound" | "onChange"> & TaskSpillerOptions;
 
 export class Pool {
     private readonly workers: OwnedWorkers;
     /** Where a run of a task is, or may be, alive. */
     private readonly liveRuns = new Map<TaskName, WorkerSession>();
-    private readonly jobs = new Map<JobId, PoolJob>();
-    private readonly tasks = new Map<TaskName, { readonly job: PoolJob; readonly task: PoolTask; }>();
-    /** Jobs with waiting tasks, in the order in which they are served. */
-    private queue: PoolJob[] = [];
+    private readonly jobs = new JobTable();
     private readonly ended: EndedJobs;
+    private readonly spiller: TaskSpiller;
     private servePlanned = false;
     private closed = false;
     private readonly startedAt: Milliseconds;
@@ -35,6 +36,7 @@
     constructor(private readonly options: PoolOptions) {
         this.startedAt = options.clock.now();
         this.ended = new EndedJobs(options.clock);
+        this.spiller = new TaskSpiller(options);
         this.workers = new OwnedWorkers({
             ...options,
             onEnd: (session, run, outcome) => this.noteEnd(session, run, outcome),
@@ -49,7 +51,7 @@
     }
 
     get waitingJobs(): number {
-        return this.queue.length;
+        return this.jobs.waitingCount;
     }
 
     /** Takes a worker over, or takes note of what it says of itself now. */
@@ -57,55 +59,89 @@
         this.workers.set(announcement);
     }
 
-    /** Takes a job; its answer is reported once. A job that is here already is handed to the new home. */
-    submit(request: JobRequest, home: string, report: (answer: JobAnswer) => void): void {
+    /** Takes a job; its home gets one answer. A job that is here already is handed to the new home. */
+    submit(request: JobRequest, home: JobHome): void {
         const ended = this.ended.get(request.id);
         if (ended) {
-            report(ended);
+            home.answer(ended);
             return;
         }
         const present = this.jobs.get(request.id);
-        if (present) {
+        if (present && hasSameTasks(present.request, request)) {
             present.home = home;
-            present.report = report;
             return;
         }
+        if (present) {
+            this.finish(present, { kind: "unknown", reason: "the job came again with other tasks" });
+        }
         const now = this.options.clock.now();
-        const uncertainUntil = request.resubmitted ? this.startedAt + takeoverUncertaintyMs : 0;
-        const job = newPoolJob(request, home, now, uncertainUntil, report);
+        const job = newPoolJob(request, home, now, getUncertaintyEnd(request, now, this.startedAt));
         const obstacle = this.workers.findLastingObstacle(request);
         if (obstacle !== undefined) {
             this.answer(job, { kind: "failed", reason: obstacle });
             return;
         }
-        this.jobs.set(request.id, job);
-        for (const task of job.tasks) {
-            this.tasks.set(task.request.name, { job, task });
-            this.adopt(job, task);
-        }
-        if (job.waiting > 0) {
-            insertInOrder(this.queue, job);
-        }
+        this.jobs.add(job);
+        job.tasks.forEach(task => this.adopt(job, task));
+        this.jobs.prune();
         this.planServe();
     }
 
     /** Ends a job that nobody waits for any more; its runs are stopped. */
-    cancel(id: JobId, home: string, reason: string): void {
+    cancel(id: JobId, homeKey: string, reason: string): void {
         const job = this.jobs.get(id);
-        if (job?.home === home) {
+        if (job?.home.key === homeKey) {
             this.close(job, reason);
         }
     }
 
     /** Ends the jobs of a home that is gone, unless they came back through another home in the meantime. */
-    noteHomeLost(home: string): void {
-        this.options.timers.after(orphanGraceMs, () => {
-            for (const job of [...this.jobs.values()]) {
-                if (job.home === home) {
+    noteHomeLost(homeKey: string): void {
+        const endJobs = (spilled: boolean) => {
+            for (const job of this.jobs.getAll()) {
+                if (job.home.key === homeKey && job.request.spilled === spilled) {
                     this.close(job, "its entry is gone");
                 }
             }
-        });
+        };
+        this.options.timers.after(spilledGraceMs, () => endJobs(true));
+        this.options.timers.after(orphanGraceMs, () => endJobs(false));
+    }
+
+    /** Takes note of what became of tasks handed to another zone. */
+    noteRemoteAnswer(zone: string, id: JobId, answer: JobAnswer): void {
+        const job = this.jobs.get(id);
+        const tasks = job?.away.get(zone);
+        if (!job || !tasks) {
+            return;
+        }
+        job.away.delete(zone);
+        switch (answer.kind) {
+            case "completed":
+                tasks.forEach(task => this.noteDone(job, task));
+                return;
+            case "refused":
+                job.started -= tasks.length;
+                tasks.forEach(task => this.waitAgain(job, task));
+                this.planServe();
+                return;
+            default:
+                this.finish(job, answer);
+        }
+    }
+
+    /** The pool of another zone is out of reach; whether the tasks handed to it run is not known. */
+    noteRemoteLost(zone: string): void {
+        for (const job of this.jobs.getAll()) {
+            if (job.away.has(zone)) {
+                this.finish(job, { kind: "unknown", reason: `tasks are in zone "${zone}", which is out of reach` });
+            }
+        }
+    }
+
+    /** What other zones may hand over now; nothing while jobs wait here. */
+    getFreeRoom(): FreeRoom {
+        return this.jobs.waitingCount > 0 ? {} : this.workers.getFreeRoom();
     }
 
     /** Gives all workers up without touching what runs there; the next owner finds it. */
@@ -123,12 +159,7 @@
             return;
         }
         session.setNeeds(run, task.request);
-        task.state = "placed";
-        task.session = session;
-        task.lastRun = run.run;
-        task.placedAt = run.orderedAt;
-        job.waiting -= 1;
-        job.started += 1;
+        placeTask(job, task, session, run.run, run.orderedAt);
         this.options.logger.info("run adopted", { job: job.request.id, task: run.task, run: run.run });
     }
 
@@ -148,18 +179,24 @@
             return;
         }
         let passedOver = 0;
-        for (const job of this.queue) {
+        for (const job of this.jobs.getWaiting()) {
             if (passedOver >= maximumPassedOver) {
                 break;
             }
-            passedOver += this.placeTasks(job) ? 0 : 1;
+            if (!this.placeTasks(job)) {
+                this.spill(job);
+                passedOver += job.waiting > 0 ? 1 : 0;
+            }
         }
-        this.queue = this.queue.filter(job => !job.closed && job.waiting > 0);
+        this.jobs.prune();
+        this.jobs.getWaiting()
+            .filter(job => job.request.spilled && job.started === 0)
+            .forEach(job => this.giveUp(job));
     }
 
     /** True when no task of the job has to go on waiting. */
     private placeTasks(job: PoolJob): boolean {
-        if (this.options.clock.now() < job.uncertainUntil && !this.workers.areAllListed()) {
+        if (this.isUncertain(job)) {
             return false;
         }
         for (const task of job.tasks) {
@@ -170,6 +207,20 @@
         return true;
     }
 
+    private isUncertain(job: PoolJob): boolean {
+        const isPending = this.options.clock.now() < job.uncertainUntil;
+        return isPending && (job.request.mayRunElsewhere || !this.workers.areAllListed());
+    }
+
+    private spill(job: PoolJob): void {
+        if (!job.request.spilled && !this.isUncertain(job)) {
+            this.spiller.spill(
+                job,
+                job.tasks.filter(task => task.state === "waiting" && !this.liveRuns.has(task.request.name)),
+            );
+        }
+    }
+
     private tryToPlace(job: PoolJob, task: PoolTask): boolean {
         const { request } = task;
         if (this.liveRuns.has(request.name)) {
@@ -180,12 +231,7 @@
             return false;
         }
         const run = Math.max(task.lastRun + 1, getFirstRun(this.options.clock.wallNow()));
-        task.lastRun = run;
-        task.state = "placed";
-        task.session = session;
-        task.placedAt = this.options.clock.now();
-        job.waiting -= 1;
-        job.started += 1;
+        placeTask(job, task, session, run, this.options.clock.now());
         this.liveRuns.set(request.name, session);
         this.options.metrics.observe("anvilmux_placement_wait_ms", {}, task.placedAt - job.receivedAt);
         this.options.logger.info("task placed", {
@@ -202,14 +248,14 @@
 
     private noteFound(session: WorkerSession, run: Run): void {
         this.liveRuns.set(run.task, session);
-        const owner = this.tasks.get(run.task);
+        const owner = this.jobs.findTask(run.task);
         if (owner) {
             this.adopt(owner.job, owner.task);
-            this.queue = this.queue.filter(job => job.waiting > 0);
+            this.jobs.prune();
             return;
         }
         this.options.timers.after(orphanGraceMs, () => {
-            if (!this.tasks.has(run.task) && session.getRun(run.task) === run) {
+            if (!this.jobs.findTask(run.task) && session.getRun(run.task) === run) {
                 this.options.logger.info("run without a job is stopped", { task: run.task, run: run.run });
                 session.stop(run.task);
             }
@@ -220,7 +266,7 @@
         if (this.liveRuns.get(run.task) === session) {
             this.liveRuns.delete(run.task);
         }
-        const owner = this.tasks.get(run.task);
+        const owner = this.jobs.findTask(run.task);
         if (owner && owner.task.session === session && owner.task.state === "placed") {
             this.noteTaskEnd(owner.job, owner.task, session, run, outcome);
         }
@@ -246,11 +292,7 @@
         switch (outcome) {
             case "done":
                 this.workers.noteDone(session, ranMs / Math.max(1, task.request.estimateMs));
-                task.state = "done";
-                job.done += 1;
-                if (job.done === job.tasks.length) {
-                    this.finish(job, { kind: "completed" });
-                }
+                this.noteDone(job, task);
                 return;
             case "failed":
                 this.noteFailure(job, task, session);
@@ -267,6 +309,14 @@
         }
     }
 
+    private noteDone(job: PoolJob, task: PoolTask): void {
+        task.state = "done";
+        job.done += 1;
+        if (job.done === job.tasks.length) {
+            this.finish(job, { kind: "completed" });
+        }
+    }
+
     private noteFailure(job: PoolJob, task: PoolTask, session: WorkerSession): void {
         this.workers.noteFailed(session);
         task.failures += 1;
@@ -281,16 +331,14 @@
     private waitAgain(job: PoolJob, task: PoolTask): void {
         task.state = "waiting";
         job.waiting += 1;
-        if (!this.queue.includes(job)) {
-            insertInOrder(this.queue, job);
-        }
+        this.jobs.enqueue(job);
     }
 
     private finish(job: PoolJob, answer: JobAnswer): void {
         if (job.closed) {
             return;
         }
-        if (answer.kind === "completed" || answer.kind === "failed") {
+        if (!job.request.spilled && (answer.kind === "completed" || answer.kind === "failed")) {
             this.ended.remember(job.request.id, answer);
         }
         this.answer(job, answer);
@@ -299,19 +347,18 @@
 
     private answer(job: PoolJob, answer: JobAnswer): void {
         this.options.metrics.count("anvilmux_pool_jobs_total", { answer: answer.kind });
-        job.report(answer);
+        job.home.answer(answer);
     }
 
     private close(job: PoolJob, reason: string): void {
         job.closed = true;
-        this.jobs.delete(job.request.id);
-        this.queue = this.queue.filter(candidate => candidate !== job);
+        this.jobs.remove(job);
         for (const task of job.tasks) {
-            this.tasks.delete(task.request.name);
             if (task.state === "placed") {
                 task.session?.stop(task.request.name);
             }
         }
+        this.spiller.cancel(job);
         this.options.logger.info("job closed", {
             job: job.request.id,
             reason,
@@ -324,23 +371,24 @@
     /** Gives up on jobs that can no longer be served in time, and tries what waits. */
     private tick(): void {
         const now = this.options.clock.now();
-        for (const job of [...this.jobs.values()]) {
-            if (now > job.receivedAt + job.request.remainingMs) {
-                this.finish(job, this.getLateAnswer(job));
-            }
-            else if (job.started === 0 && now > job.startBy) {
-                this.finish(job, this.getLateAnswer(job));
+        for (const job of this.jobs.getAll()) {
+            const isOverdue = now > job.receivedAt + job.request.remainingMs;
+            if (isOverdue || (job.started === 0 && now > job.startBy)) {
+                this.giveUp(job);
             }
         }
-        if (this.queue.length > 0) {
+        if (this.jobs.waitingCount > 0) {
             this.serve();
         }
     }
 
-    private getLateAnswer(job: PoolJob): JobAnswer {
-        return job.started === 0
-            ? { kind: "refused", reason: "no room in time", retryAfterMs: refusalRetryMs }
-            : { kind: "unknown", reason: "not ended before the caller's deadline" };
+    private giveUp(job: PoolJob): void {
+        this.finish(
+            job,
+            job.started === 0
+                ? { kind: "refused", reason: "no room in time", retryAfterMs: refusalRetryMs }
+                : { kind: "unknown", reason: "not ended before the caller's deadline" },
+        );
     }
 }
 
--- a/packages/dispatch/src/PoolJob.ts
+++ b/packages/dispatch/src/PoolJob.ts
@@ -1,12 +1,14 @@
 /** A job in the hands of the owner of a zone's workers. */
 
 import type { Milliseconds } from "@anvilmux/common";
-import type { JobAnswer, JobRequest, TaskRequest } from "./types";
+import { takeoverUncertaintyMs } from "./constants";
+import type { JobHome, JobRequest, TaskRequest } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
 export interface PoolTask {
     readonly request: TaskRequest;
-    state: "waiting" | "placed" | "done";
+    /** `away`: handed to another zone. */
+    state: "waiting" | "placed" | "away" | "done";
     failures: number;
     /** Number of the last run that was ordered. */
     lastRun: number;
@@ -27,8 +29,9 @@
     done: number;
     /** Runs ordered so far; a job with none can be refused. */
     started: number;
-    home: string;
-    report: (answer: JobAnswer) => void;
+    home: JobHome;
+    /** Tasks handed to other zones, by zone. */
+    readonly away: Map<string, readonly PoolTask[]>;
     /** True once it has its answer or nobody waits for it. */
     closed: boolean;
     /** Until then earlier runs, started by a former owner, may go on unseen. */
@@ -41,10 +44,9 @@
 
 export const newPoolJob = (
     request: JobRequest,
-    home: string,
+    home: JobHome,
     receivedAt: Milliseconds,
     uncertainUntil: Milliseconds,
-    report: (answer: JobAnswer) => void,
 ): PoolJob => ({
     request,
     receivedAt,
@@ -62,7 +64,35 @@
     done: 0,
     started: 0,
     home,
-    report,
+    away: new Map(),
     closed: false,
     uncertainUntil,
 });
+
+/** Notes that a run of the task is ordered or goes on at a worker. */
+export const placeTask = (
+    job: PoolJob,
+    task: PoolTask,
+    session: WorkerSession,
+    run: number,
+    placedAt: Milliseconds,
+): void => {
+    task.state = "placed";
+    task.session = session;
+    task.lastRun = run;
+    task.placedAt = placedAt;
+    job.waiting -= 1;
+    job.started += 1;
+};
+
+/** Until when runs of the job that the pool has not seen may go on. */
+export const getUncertaintyEnd = (
+    request: JobRequest,
+    now: Milliseconds,
+    poolStartedAt: Milliseconds,
+): Milliseconds => {
+    if (request.mayRunElsewhere) {
+        return now + takeoverUncertaintyMs;
+    }
+    return request.resubmitted ? poolStartedAt + takeoverUncertaintyMs : 0;
+};
--- /dev/null
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -0,0 +1,79 @@
+/** Hands tasks that find no room in their own zone to the pools of other zones. */
+
+import type { Clock, JobId } from "@anvilmux/common";
+import type { Logger, Metrics } from "@anvilmux/telemetry";
+import type { PoolJob, PoolTask } from "./PoolJob";
+import { chooseSpill } from "./spill";
+import type { RemotePool } from "./types";
+
+export interface TaskSpillerOptions {
+    /** The pools of other zones that can be reached, the one with the most room first. */
+    readonly getRemotePools: () => readonly RemotePool[];
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+export class TaskSpiller {
+    constructor(private readonly options: TaskSpillerOptions) {}
+
+    /** Hands over as many of the waiting tasks as other zones have room for. */
+    spill(job: PoolJob, waiting: readonly PoolTask[]): void {
+        let rest = waiting;
+        for (const remote of this.options.getRemotePools()) {
+            if (rest.length === 0) {
+                return;
+            }
+            if (!job.away.has(remote.zone)) {
+                this.handOver(job, rest, remote);
+                rest = rest.filter(task => task.state === "waiting");
+            }
+        }
+    }
+
+    /** Ends what other zones still do for the job. */
+    cancel(job: PoolJob): void {
+        for (const remote of this.options.getRemotePools()) {
+            if (job.away.has(remote.zone)) {
+                remote.cancel(job.request.id);
+            }
+        }
+    }
+
+    private handOver(job: PoolJob, waiting: readonly PoolTask[], remote: RemotePool): void {
+        const { service, id } = job.request;
+        const { tasks, left } = chooseSpill(waiting, remote.free[service] ?? []);
+        if (tasks.length === 0) {
+            return;
+        }
+        job.home.noteAway();
+        const elapsed = this.options.clock.now() - job.receivedAt;
+        const isSent = remote.submit({
+            ...job.request,
+            tasks: tasks.map(task => task.request),
+            objectiveMs: job.request.objectiveMs - elapsed,
+            remainingMs: job.request.remainingMs - elapsed,
+            spilled: true,
+        }, { ...remote.free, [service]: left });
+        if (!isSent) {
+            return;
+        }
+        for (const task of tasks) {
+            task.state = "away";
+        }
+        job.away.set(remote.zone, tasks);
+        job.waiting -= tasks.length;
+        job.started += tasks.length;
+        this.log(id, tasks, remote, elapsed);
+    }
+
+    private log(job: JobId, tasks: readonly PoolTask[], remote: RemotePool, waitedMs: number): void {
+        this.options.metrics.count("anvilmux_spilled_tasks_total", { zone: remote.zone }, tasks.length);
+        this.options.logger.info("tasks handed to another zone", {
+            job,
+            tasks: tasks.length,
+            toZone: remote.zone,
+            waitedMs: Math.round(waitedMs),
+        });
+    }
+}
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -27,6 +27,12 @@
 export const orphanGraceMs = 400;
 /** Time after a change of owner in which runs of an unreachable worker may go on: its old owner's patience and lease. */
 export const takeoverUncertaintyMs = 1_900;
+/** Time after which tasks that another zone handed over are stopped when its owner is lost. */
+export const spilledGraceMs = 50;
+/** Workers whose free room is told to other zones. */
+export const maximumToldWorkers = 20;
+/** Time between two reports of free room to other zones. */
+export const roomReportPeriodMs = 100;
 /** Ended jobs are remembered for this long, for callers that ask again. */
 export const endedJobRetentionMs = 6_000;
 export const maximumEndedJobs = 20_000;
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -40,6 +40,31 @@
     readonly remainingMs: Milliseconds;
     /** True when earlier runs of its tasks may exist that this owner has not started itself. */
     readonly resubmitted: boolean;
+    /** True when a former owner handed tasks of it to another zone. */
+    readonly mayRunElsewhere: boolean;
+    /** True for tasks that the owner of another zone hands over: started at once or refused, never handed on. */
+    readonly spilled: boolean;
+}
+
+/** Whoever waits for a job at its pool. */
+export interface JobHome {
+    /** Names the connection; a home that came back has another. */
+    readonly key: string;
+    readonly answer: (answer: JobAnswer) => void;
+    /** Told before tasks of the job are handed to another zone. */
+    readonly noteAway: () => void;
+}
+
+/** Processors left on each worker of a service that takes tasks now, in millicores. */
+export type FreeRoom = Readonly<Record<string, readonly number[]>>;
+
+/** The pool of another zone. */
+export interface RemotePool {
+    readonly zone: string;
+    readonly free: FreeRoom;
+    /** Hands tasks over; `left` is what they leave of the room. False when the pool cannot be reached now. */
+    readonly submit: (request: JobRequest, left: FreeRoom) => boolean;
+    readonly cancel: (id: JobId) => void;
 }
 
 /** What became of a job. `refused` means that none of its tasks ran or will run. */
--- a/packages/fleet/src/ControlHub.ts
+++ b/packages/fleet/src/ControlHub.ts
@@ -31,6 +31,7 @@
 interface ConnectedEntry {
     readonly send: (message: FromControl) => void;
     member: EntryMember | undefined;
+    claim: number;
 }
 
 export class ControlHub {
@@ -98,7 +99,7 @@
     }
 
     private accept(send: (message: FromControl) => void): Session<ToControl> {
-        const entry: ConnectedEntry = { send, member: undefined };
+        const entry: ConnectedEntry = { send, member: undefined, claim: 0 };
         this.entries.add(entry);
         return {
             onMessage: message => this.receive(entry, message),
@@ -109,6 +110,9 @@
                 if (member) {
                     this.tellMembers(member.zone);
                 }
+                if (entry.claim > 0) {
+                    this.tellOwners();
+                }
             },
         };
     }
@@ -118,6 +122,10 @@
             case "hello":
                 this.welcome(entry, message.member, message.configurationIndex);
                 return;
+            case "claim":
+                entry.claim = message.claim;
+                this.tellOwners();
+                return;
             case "fetch-configuration":
                 this.sendConfiguration(entry, message.knownIndex);
         }
@@ -129,6 +137,7 @@
         this.tellMembers(member.zone);
         const workers = this.workers.getAll().filter(worker => worker.zone === member.zone);
         entry.send({ type: "workers", workers });
+        entry.send(this.getOwners());
         const index = this.options.configuration.getIndex();
         if (index > knownIndex) {
             entry.send({ type: "configuration-notice", index });
@@ -143,6 +152,16 @@
         }
     }
 
+    private tellOwners(): void {
+        const message = this.getOwners();
+        this.entries.forEach(entry => entry.send(message));
+    }
+
+    private getOwners(): FromControl {
+        const owners = [...this.entries].flatMap(({ member, claim }) => member && claim > 0 ? [{ member, claim }] : []);
+        return { type: "owners", owners };
+    }
+
     private tellMembers(zone: string): void {
         const members = [...this.entries].flatMap(entry => entry.member?.zone === zone ? [entry.member] : []);
         this.tellZone(zone, { type: "members", members, control: this.options.getControlAddresses() });
--- a/packages/fleet/src/ControlLinks.ts
+++ b/packages/fleet/src/ControlLinks.ts
@@ -4,7 +4,7 @@
 import type { WorkerAnnouncement } from "@anvilmux/dispatch";
 import { Link } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment } from "@anvilmux/links";
-import type { EntryMember, FromControl, ToControl } from "./messages";
+import type { EntryMember, FromControl, ToControl, ZoneOwner } from "./messages";
 
 export interface ControlLinksOptions {
     readonly self: EntryMember;
@@ -13,6 +13,9 @@
     readonly environment: LinkEnvironment;
     readonly getConfigurationIndex: () => number;
     readonly onMembers: (members: readonly EntryMember[]) => void;
+    readonly getClaim: () => number;
+    /** The owners of all zones as far as the control instances that are heard know them. */
+    readonly onOwners: (owners: readonly ZoneOwner[]) => void;
     readonly onWorkers: (workers: readonly WorkerAnnouncement[]) => void;
     readonly onConfiguration: (index: number, envelope: string) => void;
 }
@@ -24,6 +27,7 @@
 
 export class ControlLinks {
     private readonly links = new Map<Address, ControlLink>();
+    private readonly owners = new Map<Address, readonly ZoneOwner[]>();
     private fetching: number | undefined;
 
     constructor(private readonly options: ControlLinksOptions) {
@@ -39,6 +43,12 @@
         this.links.forEach(link => link.stop());
     }
 
+    /** Tells control this entry's claim to the workers of its zone. */
+    tellClaim(): void {
+        const claim = this.options.getClaim();
+        this.links.forEach(link => link.send({ type: "claim", claim }));
+    }
+
     private add(address: Address): void {
         if (this.links.has(address)) {
             return;
@@ -54,6 +64,7 @@
                     member: this.options.self,
                     configurationIndex: this.options.getConfigurationIndex(),
                 });
+                link.send({ type: "claim", claim: this.options.getClaim() });
             },
             onMessage: message => this.receive(link, message),
             onClose: reason => environment.logger.warn("control instance lost", { control: address, reason }),
@@ -67,6 +78,10 @@
                 message.control.forEach(address => this.add(address));
                 this.options.onMembers(message.members);
                 return;
+            case "owners":
+                this.owners.set(link.address, message.owners);
+                this.options.onOwners([...this.owners.values()].flat());
+                return;
             case "workers":
                 this.options.onWorkers(message.workers);
                 return;
--- /dev/null
+++ b/packages/fleet/src/OwnerLinks.ts
@@ -0,0 +1,107 @@
+/** The connections of a zone's owner to the owners of the other zones, through which tasks are handed over. */
+
+import type { JobId } from "@anvilmux/common";
+import type { FreeRoom, JobAnswer, RemotePool } from "@anvilmux/dispatch";
+import { Link } from "@anvilmux/links";
+import type { ChannelChecker, LinkEnvironment } from "@anvilmux/links";
+import type { EntryMember, FromPeer, ToPeer, ZoneOwner } from "./messages";
+
+export interface OwnerLinksOptions {
+    readonly self: EntryMember;
+    readonly checker: ChannelChecker;
+    readonly environment: LinkEnvironment;
+    readonly onAnswer: (zone: string, id: JobId, answer: JobAnswer) => void;
+    readonly onLost: (zone: string) => void;
+}
+
+interface RemoteOwner {
+    owner: ZoneOwner;
+    readonly link: Link<FromPeer, ToPeer>;
+    free: FreeRoom;
+}
+
+export class OwnerLinks {
+    private readonly remotes = new Map<string, RemoteOwner>();
+
+    constructor(private readonly options: OwnerLinksOptions) {}
+
+    stop(): void {
+        [...this.remotes.keys()].forEach(zone => this.remove(zone));
+    }
+
+    /** Connects to the owner with the highest claim of each other zone. */
+    noteOwners(owners: readonly ZoneOwner[]): void {
+        for (const owner of owners) {
+            const { zone, address, incarnation } = owner.member;
+            const present = this.remotes.get(zone);
+            if (zone === this.options.self.zone || (present && present.owner.claim >= owner.claim)) {
+                continue;
+            }
+            if (present?.owner.member.address === address && present.owner.member.incarnation === incarnation) {
+                present.owner = owner;
+                continue;
+            }
+            this.remove(zone);
+            this.add(owner);
+        }
+    }
+
+    /** The pools that can be reached, the one with the most room first. */
+    getPools(): readonly RemotePool[] {
+        return [...this.remotes]
+            .filter(([, remote]) => remote.link.isOpen)
+            .map(([zone, remote]) => toPool(zone, remote))
+            .sort((left, right) => getTotal(right.free) - getTotal(left.free));
+    }
+
+    private add(owner: ZoneOwner): void {
+        const { environment, checker, self } = this.options;
+        const { zone, address } = owner.member;
+        const link: Link<FromPeer, ToPeer> = new Link(environment, {
+            address,
+            checker,
+            onOpen: () => {
+                environment.logger.info("owner of another zone connected", { toZone: zone, owner: owner.member.id });
+                link.send({ type: "zone-owner", id: self.id, zone: self.zone });
+            },
+            onMessage: message => this.receive(zone, message),
+            onClose: reason => {
+                environment.logger.warn("owner of another zone lost", { toZone: zone, reason });
+                this.options.onLost(zone);
+            },
+        });
+        this.remotes.set(zone, { owner, link, free: {} });
+    }
+
+    private receive(zone: string, message: FromPeer): void {
+        const remote = this.remotes.get(zone);
+        if (message.type === "answer") {
+            if (message.answer.kind === "refused" && remote) {
+                // The report was out of date; the next one tells what is free.
+                remote.free = {};
+            }
+            this.options.onAnswer(zone, message.id, message.answer);
+        }
+        else if (message.type === "room" && remote) {
+            remote.free = message.free;
+        }
+    }
+
+    private remove(zone: string): void {
+        this.remotes.get(zone)?.link.stop();
+        this.remotes.delete(zone);
+    }
+}
+
+const toPool = (zone: string, remote: RemoteOwner): RemotePool => ({
+    zone,
+    free: remote.free,
+    submit: (request, left) => {
+        remote.free = left;
+        return remote.link.send({ type: "submit", request });
+    },
+    cancel: id => void remote.link.send({ type: "cancel", id }),
+});
+
+const getTotal = (free: FreeRoom): number =>
+    Object.values(free).flat().reduce((sum, millicores) => sum + millicores, 0);
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -1,7 +1,7 @@
 /** The connections among the entries of a zone: each calls every other one and tells it its state. */
 
 import type { Clock, Milliseconds } from "@anvilmux/common";
-import type { Candidate } from "@anvilmux/dispatch";
+import type { Candidate, FreeRoom } from "@anvilmux/dispatch";
 import { Link, LinkServer } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment, Session } from "@anvilmux/links";
 import type { EntryMember, FromPeer, ToPeer } from "./messages";
@@ -15,7 +15,7 @@
     readonly getState: () => { readonly claim: number; readonly eligible: boolean; };
     /** Something about the other entries changed. */
     readonly onChange: () => void;
-    readonly onAnswer: (peerId: string, message: Extract<FromPeer, { type: "answer"; }>) => void;
+    readonly onReply: (peerId: string, message: FromPeer) => void;
     /** The connection to a peer was lost: what was sent there may not have arrived. */
     readonly onPeerLost: (peerId: string) => void;
     /** Jobs that other entries bring; `home` names the connection. */
@@ -48,6 +48,8 @@
     private readonly peers = new Map<string, Peer>();
     private readonly heard = new Map<string, HeardState>();
     private server: LinkServer<ToPeer, FromPeer> | undefined;
+    /** Connections from owners of other zones. */
+    private readonly zoneOwners = new Set<(message: FromPeer) => void>();
     private nextHome = 0;
     private readonly clock: Clock;
 
@@ -99,6 +101,11 @@
         this.peers.forEach(peer => peer.link.send(this.getStateMessage()));
     }
 
+    /** Tells the owners of other zones what they may hand over. */
+    tellRoom(free: FreeRoom): void {
+        this.zoneOwners.forEach(send => send({ type: "room", free }));
+    }
+
     private getStateMessage(): ToPeer {
         const { id, incarnation } = this.options.self;
         return { type: "state", id, incarnation, ...this.options.getState() };
@@ -114,7 +121,7 @@
                 link.send(this.getStateMessage());
                 this.options.onChange();
             },
-            onMessage: message => this.options.onAnswer(member.id, message),
+            onMessage: message => this.options.onReply(member.id, message),
             onClose: reason => {
                 environment.logger.warn("entry lost", { peer: member.id, reason });
                 const peer = this.peers.get(member.id);
@@ -142,6 +149,10 @@
                         this.heard.set(message.id, { ...message, connection });
                         this.options.onChange();
                         return;
+                    case "zone-owner":
+                        home = `${message.zone}/${message.id}#${connection}`;
+                        this.zoneOwners.add(send);
+                        return;
                     case "submit":
                         this.options.onSubmit(home, message, send);
                         return;
@@ -151,6 +162,7 @@
             },
             onClose: () => {
                 this.options.onHomeLost(home);
+                this.zoneOwners.delete(send);
                 if (peerId !== undefined && this.heard.get(peerId)?.connection === connection) {
                     this.heard.delete(peerId);
                     this.options.onChange();
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -2,5 +2,6 @@
 export * from "./ControlHub";
 export * from "./ControlLinks";
 export * from "./messages";
+export * from "./OwnerLinks";
 export * from "./WorkerDirectory";
 export * from "./ZoneMesh";
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,7 +1,7 @@
 /** Messages on the held connections between entries and control, and between the entries of a zone. */
 
 import type { Address, JobId } from "@anvilmux/common";
-import type { JobAnswer, JobRequest, WorkerAnnouncement } from "@anvilmux/dispatch";
+import type { FreeRoom, JobAnswer, JobRequest, WorkerAnnouncement } from "@anvilmux/dispatch";
 
 /** An entry as others know it. */
 export interface EntryMember {
@@ -13,13 +13,23 @@
     readonly address: Address;
 }
 
+/** An entry that claims the workers of its zone. */
+export interface ZoneOwner {
+    readonly member: EntryMember;
+    readonly claim: number;
+}
+
 export type ToControl =
     | { readonly type: "hello"; readonly member: EntryMember; readonly configurationIndex: number; }
+    /** The entry's claim to the workers of its zone; 0 is none. */
+    | { readonly type: "claim"; readonly claim: number; }
     | { readonly type: "fetch-configuration"; readonly knownIndex: number; };
 
 export type FromControl =
     /** The entries of the zone that this control instance hears. */
     | { readonly type: "members"; readonly members: readonly EntryMember[]; readonly control: readonly Address[]; }
+    /** The owners of all zones that this control instance hears. */
+    | { readonly type: "owners"; readonly owners: readonly ZoneOwner[]; }
     | { readonly type: "configuration-notice"; readonly index: number; }
     | { readonly type: "configuration"; readonly index: number; readonly envelope: string; }
     | { readonly type: "workers"; readonly workers: readonly WorkerAnnouncement[]; };
@@ -33,8 +43,15 @@
         readonly claim: number;
         readonly eligible: boolean;
     }
+    /** Opens a connection between the owners of two zones. */
+    | { readonly type: "zone-owner"; readonly id: string; readonly zone: string; }
     | { readonly type: "submit"; readonly request: JobRequest; }
     | { readonly type: "cancel"; readonly id: JobId; };
 
 /** Back to the entry that made the connection. */
-export type FromPeer = { readonly type: "answer"; readonly id: JobId; readonly answer: JobAnswer; };
+export type FromPeer =
+    | { readonly type: "answer"; readonly id: JobId; readonly answer: JobAnswer; }
+    /** Tasks of the job are about to be handed to another zone. */
+    | { readonly type: "away"; readonly id: JobId; }
+    /** To owners of other zones only. */
+    | { readonly type: "room"; readonly free: FreeRoom; };
