Orders without an answer are settled soon, and a refusal never hides an earlier run

A test with late orders showed a task ordered three times at the same worker, each time 0.9 s lost. Change: jobs handed over after a change of owner end as unknown, not refused; a start without an answer is looked at 15 ms after its deadline, and the task tries other workers first; one unanswered start no longer pauses a worker.

--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -11,7 +11,7 @@
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
 import { getUncertaintyEnd, newPoolJob, placeTask } from "./PoolJob";
 import type { PoolJob, PoolTask } from "./PoolJob";
-import { getFirstRun } from "./runNumbers";
+import { getFirstRun, runsSkippedAfterOld } from "./runNumbers";
 import type { Run, RunOutcome } from "./RunTable";
 import { hasSameTasks } from "./spill";
 import { TaskSpiller } from "./TaskSpiller";
@@ -300,6 +300,10 @@
             case "invalid":
                 this.finish(job, { kind: "failed", reason: `the worker cannot read task ${run.task}` });
                 return;
+            case "never-started":
+                task.avoided.push(session);
+                this.waitAgain(job, task);
+                return;
             case "refused-old":
                 task.lastRun += runsSkippedAfterOld;
                 this.waitAgain(job, task);
@@ -383,14 +387,13 @@
     }
 
     private giveUp(job: PoolJob): void {
+        const { resubmitted, mayRunElsewhere } = job.request;
+        const neverRan = job.started === 0 && !resubmitted && !mayRunElsewhere;
         this.finish(
             job,
-            job.started === 0
+            neverRan
                 ? { kind: "refused", reason: "no room in time", retryAfterMs: refusalRetryMs }
-                : { kind: "unknown", reason: "not ended before the caller's deadline" },
+                : { kind: "unknown", reason: "not ended in time, and tasks of it may have run" },
         );
     }
 }
-
-/** Runs passed over after a worker knew a later one of the task. */
-const runsSkippedAfterOld = 64;
--- /dev/null
+++ b/packages/dispatch/src/WorkerPause.ts
@@ -0,0 +1,31 @@
+/** Times in which a worker gets no task, although it can be reached. */
+
+import type { Clock, Milliseconds } from "@anvilmux/common";
+import { unansweredPauseMs, unansweredToPause } from "./constants";
+
+export class WorkerPause {
+    private until: Milliseconds = 0;
+    private unansweredInARow = 0;
+
+    constructor(private readonly clock: Clock) {}
+
+    get isOn(): boolean {
+        return this.clock.now() < this.until;
+    }
+
+    begin(length: Milliseconds): void {
+        this.until = Math.max(this.until, this.clock.now() + length);
+    }
+
+    noteAnswered(): void {
+        this.unansweredInARow = 0;
+    }
+
+    /** Several starts in a row without an answer begin a pause. */
+    noteUnanswered(): void {
+        this.unansweredInARow += 1;
+        if (this.unansweredInARow >= unansweredToPause) {
+            this.begin(unansweredPauseMs);
+        }
+    }
+}
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -9,14 +9,14 @@
 import {
     endGatherMs,
     firstRetryPauseMs,
-    leaseMarginMs,
     longestRetryPauseMs,
+    lookAfterValidityMs,
     maximumListedEnds,
+    orderTimeoutMs,
     startValidityMs,
     stopRepeatMs,
     watchGraceMs,
     watchWaitMs,
-    workerClockDrift,
     workerLeaseMs,
 } from "./constants";
 import { newRun, RunTable } from "./RunTable";
@@ -32,6 +32,8 @@
     WorkerId,
     WorkerList,
 } from "./types";
+import { WorkerPause } from "./WorkerPause";
+import { WorkerTime } from "./WorkerTime";
 
 export interface WorkerSessionOptions {
     readonly announcement: WorkerAnnouncement;
@@ -56,18 +58,20 @@
     private announced: WorkerAnnouncement;
     private readonly runs = new RunTable();
     private lastSeen = 0;
-    private clockOffset: Milliseconds | undefined;
-    /** On our clock: until when anything ordered here may still run, should the worker not be heard again. */
-    private runsPossibleUntil: Milliseconds = 0;
+    private readonly time: WorkerTime;
     private reachable = false;
     private everListed = false;
     private closed = false;
     private failures = 0;
-    private unusableUntil: Milliseconds = 0;
+    /** Clock of the newest list of this life of the worker. */
+    private lastListClock = 0;
+    private readonly paused: WorkerPause;
     private incarnation = 0;
 
     constructor(private readonly options: WorkerSessionOptions) {
         this.announced = options.announcement;
+        this.time = new WorkerTime(options.clock);
+        this.paused = new WorkerPause(options.clock);
         void this.keepWatch();
     }
 
@@ -86,17 +90,13 @@
 
     get isUsable(): boolean {
         return this.reachable && this.everListed && !this.closed && this.announced.state === "ready"
-            && this.options.clock.now() >= this.unusableUntil && !this.runs.hasUnknownRuns();
+            && !this.paused.isOn && !this.runs.hasUnknownRuns();
     }
 
     get free(): Room {
         return subtractRoom(this.announced.room, this.runs.used);
     }
 
-    get runCount(): number {
-        return this.runs.size;
-    }
-
     /** True when the task fits beside what runs, or may run, there. */
     hasRoom(needed: Room): boolean {
         return fits(this.free, needed);
@@ -113,15 +113,15 @@
 
     /** Gives the worker no task for a while. */
     pause(length: Milliseconds): void {
-        this.unusableUntil = Math.max(this.unusableUntil, this.options.clock.now() + length);
+        this.paused.begin(length);
     }
 
     /** Orders a start. The end of the run, also of one that never began, is reported by `onEnd`. */
     start(task: TaskName, run: number, payload: string, needs: Room): void {
-        const startDeadline = this.workerNow() + startValidityMs;
+        const startDeadline = this.time.now() + startValidityMs;
         const record = newRun({ task, run, needs, orderedAt: this.options.clock.now(), startDeadline });
         this.runs.add(record);
-        this.noteGrant(record.orderedAt, startValidityMs);
+        this.time.noteGrant(record.orderedAt, startValidityMs);
         this.options.metrics.count("anvilmux_start_orders_total");
         const order = { task, run, payload, fence: this.options.getFence(), deadline: startDeadline };
         void this.options.driver.start(order).then(answer => this.noteStart(record, answer));
@@ -139,10 +139,6 @@
         return this.runs.get(task);
     }
 
-    getRuns(): readonly Run[] {
-        return this.runs.getAll();
-    }
-
     /** Ends the session without touching what runs. */
     close(): void {
         this.closed = true;
@@ -155,27 +151,14 @@
         void this.options.driver.stop(run.task, run.run, this.options.getFence());
     }
 
-    /** The worker's steady clock now, as far as known. */
-    private workerNow(): Milliseconds {
-        return this.options.clock.now() + (this.clockOffset ?? 0);
-    }
-
-    private noteGrant(sentAt: Milliseconds, length: Milliseconds): void {
-        const until = sentAt + length * (1 + workerClockDrift) + leaseMarginMs;
-        this.runsPossibleUntil = Math.max(this.runsPossibleUntil, until);
-    }
-
-    private noteClock(clock: Milliseconds): void {
-        this.clockOffset = clock - this.options.clock.now();
-    }
-
     private noteStart(run: Run, answer: StartAnswer): void {
         if (this.closed || this.runs.get(run.task) !== run) {
             return;
         }
         switch (answer.kind) {
             case "started":
-                this.noteClock(answer.clock);
+                this.time.noteClock(answer.clock);
+                this.paused.noteAnswered();
                 if (run.state === "ordered") {
                     run.state = "running";
                 }
@@ -188,14 +171,38 @@
                 this.noteGone();
                 return;
             case "unanswered":
-                run.state = "uncertain";
-                this.pause(startValidityMs);
-                this.options.logger.warn("start without an answer", {
-                    worker: this.id,
-                    task: run.task,
-                    run: run.run,
-                    reason: answer.reason,
-                });
+                this.noteUnanswered(run, answer.reason);
+        }
+    }
+
+    /** The start may yet be carried out until its deadline; a look after that tells. */
+    private noteUnanswered(run: Run, reason: string): void {
+        if (run.state === "ordered") {
+            run.state = "uncertain";
+        }
+        this.paused.noteUnanswered();
+        this.options.logger.warn("start without an answer", { worker: this.id, task: run.task, run: run.run, reason });
+        const untilLook = run.startDeadline - this.time.now() + lookAfterValidityMs;
+        this.options.timers.after(Math.max(0, untilLook), () => void this.lookForUncertainRuns());
+    }
+
+    /** One look beside the waiting watch. */
+    private async lookForUncertainRuns(): Promise<void> {
+        if (this.closed || !this.reachable || !this.runs.getAll().some(run => run.state === "uncertain")) {
+            return;
+        }
+        const sentAt = this.options.clock.now();
+        this.options.metrics.count("anvilmux_worker_looks_total");
+        const answer = await this.options.driver.watch({
+            fence: this.options.getFence(),
+            lastSeen: this.lastSeen,
+            leaseUntil: undefined,
+            waitMs: 0,
+            timeoutMs: orderTimeoutMs,
+        });
+        // Without an answer the waiting watch tells.
+        if (answer.kind === "listed" && !this.closed && this.reachable) {
+            this.noteList(answer.list, sentAt);
         }
     }
 
@@ -235,18 +242,18 @@
     private async watchOnce(): Promise<Milliseconds> {
         const { clock, driver, getFence, metrics } = this.options;
         const sentAt = clock.now();
-        const isSteady = this.reachable && this.clockOffset !== undefined;
+        const isSteady = this.reachable && this.time.isKnown;
         const waitMs = isSteady ? watchWaitMs : 0;
         const fence = getFence();
         if (isSteady) {
-            this.noteGrant(sentAt, workerLeaseMs);
+            this.time.noteGrant(sentAt, workerLeaseMs);
         }
         metrics.count("anvilmux_worker_looks_total");
         const answer = await driver.watch({
             fence,
             lastSeen: this.lastSeen,
             // While the worker does not answer, its lease must end at a known time.
-            leaseUntil: isSteady ? this.workerNow() + workerLeaseMs : undefined,
+            leaseUntil: isSteady ? this.time.now() + workerLeaseMs : undefined,
             waitMs,
             timeoutMs: waitMs + watchGraceMs,
         });
@@ -269,7 +276,13 @@
     }
 
     private noteList(list: WorkerList, sentAt: Milliseconds): Milliseconds {
-        this.noteClock(list.clock);
+        const isSameLife = list.incarnation === this.incarnation;
+        if (list.incarnation < this.incarnation || (isSameLife && list.clock < this.lastListClock)) {
+            // Overtaken by a newer list.
+            return 0;
+        }
+        this.lastListClock = list.clock;
+        this.time.noteClock(list.clock);
         if (this.incarnation !== list.incarnation) {
             this.beginLife(list.incarnation);
         }
@@ -349,7 +362,7 @@
             this.options.onChange();
             return 1;
         }
-        if (now > this.runsPossibleUntil && this.runs.size > 0) {
+        if (now > this.time.runsPossibleUntil && this.runs.size > 0) {
             this.endAll("lost");
         }
         if (this.announced.state === "left" && this.runs.size === 0) {
@@ -357,7 +370,7 @@
             return 0;
         }
         const pause = Math.min(longestRetryPauseMs, firstRetryPauseMs * 2 ** Math.min(8, this.failures - 2));
-        return this.runs.size > 0 ? Math.max(1, Math.min(pause, this.runsPossibleUntil - now)) : pause;
+        return this.runs.size > 0 ? Math.max(1, Math.min(pause, this.time.runsPossibleUntil - now)) : pause;
     }
 
     private noteGone(): void {
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -11,9 +11,14 @@
 /** Time after the wait within which a watch must be answered. */
 export const watchGraceMs = 350;
 /** Time a start or stop order may take to be answered. */
-export const orderTimeoutMs = 300;
+export const orderTimeoutMs = 200;
 /** A start that reaches the worker later than this is refused by the worker. */
-export const startValidityMs = 400;
+export const startValidityMs = 250;
+/** Starts without an answer in a row after which a worker gets no task for a while. */
+export const unansweredToPause = 2;
+export const unansweredPauseMs = 1_000;
+/** Time after the validity of an unanswered start at which the worker is looked at. */
+export const lookAfterValidityMs = 15;
 /** Ends that finish within this time are taken note of by one look. */
 export const endGatherMs = 2;
 export const firstRetryPauseMs = 100;
--- a/packages/dispatch/src/runNumbers.ts
+++ b/packages/dispatch/src/runNumbers.ts
@@ -10,3 +10,6 @@
 /** The lowest run number for a task that is first started at `wallNow`. */
 export const getFirstRun = (wallNow: WallMilliseconds): number =>
     Math.max(1, (Math.floor(wallNow / 1_000) - originSeconds) * runsPerSecond);
+
+/** Runs passed over after a worker knew a later one of the task. */
+export const runsSkippedAfterOld = 64;
--- /dev/null
+++ b/packages/dispatch/tests/poolWorld.ts
@@ -0,0 +1,131 @@
+/** Leased workers, a pool that owns them and a check that no task runs twice at once, all on virtual time. */
+
+import { toAddress, toJobId, toZoneId, VirtualTime } from "@anvilmux/common";
+import type { Milliseconds } from "@anvilmux/common";
+import { chooseTightest, Pool, toTaskName, toWorkerId } from "@anvilmux/dispatch";
+import type { JobAnswer, JobHome, JobRequest, RemotePool, TaskName } from "@anvilmux/dispatch";
+import { LeasedWorker } from "@anvilmux/stand-ins";
+import { Metrics, newSilentLogger } from "@anvilmux/telemetry";
+
+export interface JobOptions {
+    readonly tasks?: number;
+    readonly runMs?: Milliseconds;
+    readonly millicores?: number;
+    readonly objectiveMs?: Milliseconds;
+    readonly attempts?: number;
+    readonly resubmitted?: boolean;
+    readonly mayRunElsewhere?: boolean;
+    readonly spilled?: boolean;
+}
+
+const workerMillicores = 16_000;
+
+export class PoolWorld {
+    readonly time = new VirtualTime();
+    readonly workers: LeasedWorker[] = [];
+    readonly answers = new Map<string, JobAnswer>();
+    readonly awayJobs: string[] = [];
+    remotePools: readonly RemotePool[] = [];
+    /** Tasks that ran twice at the same time. */
+    readonly doubleRuns: TaskName[] = [];
+    readonly begun: TaskName[] = [];
+    readonly fencedTokens: number[] = [];
+    private readonly alive = new Map<TaskName, number>();
+    private readonly runTimes = new Map<string, Milliseconds>();
+    private readonly sizes = new Map<string, number>();
+
+    constructor(workerCount: number) {
+        for (let number = 1; number <= workerCount; number++) {
+            this.workers.push(this.newWorker(number));
+        }
+    }
+
+    newPool(fence: number): Pool {
+        const pool = new Pool({
+            connect: announcement => this.workers.find(worker => worker.announcement.id === announcement.id)!.connect(),
+            choose: chooseTightest,
+            getFence: () => fence,
+            onFenced: token => this.fencedTokens.push(token),
+            getRemotePools: () => this.remotePools,
+            clock: this.time,
+            timers: this.time,
+            logger: newSilentLogger(),
+            metrics: new Metrics(),
+        });
+        this.workers.forEach(worker => pool.setWorker(worker.announcement));
+        return pool;
+    }
+
+    newJob(id: string, options: JobOptions = {}): JobRequest {
+        const runMs = options.runMs ?? 100;
+        this.runTimes.set(id, runMs);
+        this.sizes.set(id, options.millicores ?? 6_000);
+        return {
+            id: toJobId(id),
+            queue: "checks",
+            service: "desk",
+            payload: id,
+            tasks: Array.from({ length: options.tasks ?? 1 }, (_, index) => ({
+                name: toTaskName(`${id}.${index}`),
+                millicores: options.millicores ?? 6_000,
+                memoryMebibytes: 64,
+                accelerators: 0,
+                estimateMs: runMs,
+            })),
+            priority: 0,
+            attempts: options.attempts ?? 2,
+            objectiveMs: options.objectiveMs ?? 1_000,
+            remainingMs: 5_000,
+            resubmitted: options.resubmitted ?? false,
+            mayRunElsewhere: options.mayRunElsewhere ?? false,
+            spilled: options.spilled ?? false,
+        };
+    }
+
+    submit(pool: Pool, request: JobRequest, homeKey = "home"): void {
+        pool.submit(request, this.newHome(request.id, homeKey));
+    }
+
+    private newHome(id: string, key: string): JobHome {
+        return {
+            key,
+            answer: answer => this.answers.set(id, answer),
+            noteAway: () => this.awayJobs.push(id),
+        };
+    }
+
+    private newWorker(number: number): LeasedWorker {
+        const getJob = (task: TaskName) => task.slice(0, task.lastIndexOf("."));
+        return new LeasedWorker({
+            announcement: {
+                id: toWorkerId(`worker-${number}`),
+                incarnation: 1,
+                sequence: 1,
+                service: "desk",
+                address: toAddress(`127.0.0.1:${number}`),
+                zone: toZoneId("eire-dub"),
+                state: "ready",
+                room: { millicores: workerMillicores, memoryMebibytes: 32_768, accelerators: 0 },
+            },
+            clock: this.time,
+            timers: this.time,
+            getRunMs: task => this.runTimes.get(getJob(task)) ?? 100,
+            getRoom: task => ({
+                millicores: this.sizes.get(getJob(task)) ?? 6_000,
+                memoryMebibytes: 64,
+                accelerators: 0,
+            }),
+            onBegin: task => this.noteBegin(task),
+            onEnd: task => this.alive.set(task, (this.alive.get(task) ?? 1) - 1),
+        });
+    }
+
+    private noteBegin(task: TaskName): void {
+        const alive = (this.alive.get(task) ?? 0) + 1;
+        this.alive.set(task, alive);
+        this.begun.push(task);
+        if (alive > 1) {
+            this.doubleRuns.push(task);
+        }
+    }
+}
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -1,5 +1,6 @@
 /** Stand-ins for what anvilmux serves: upstreams, workers and their announcements. */
 export * from "./Announcer";
+export * from "./LeasedWorker";
 export * from "./LoadGenerator";
 export * from "./StandInUpstream";
 export * from "./StandInWorker";
