Processes write their logs, and never block on them

Cause: nothing was ever logged: the logging library writes only when a variable is set before it is loaded, so a broken rule could not be traced. Written lines blocked the process on a pipe. Change: programs set the variable before anything is loaded; lines wait in memory up to 1 MiB and are written on a thread of the runtime's pool, what is left out is counted and told; tests for both.

--- a/anvilmux-daemon/bin/anvilmux.js
+++ b/anvilmux-daemon/bin/anvilmux.js
@@ -1,2 +1,4 @@
 #!/usr/bin/env node
-import "../../dist/anvilmux.js";
+// The logging library looks at this variable when it is loaded.
+process.env.ROARR_LOG ??= "true";
+await import("../dist/anvilmux.js");
--- a/anvilmux-daemon/src/commands/serve.ts
+++ b/anvilmux-daemon/src/commands/serve.ts
@@ -12,7 +12,8 @@
     SettingsError,
 } from "@anvilmux/anvilmux";
 import type { LoadedSettings } from "@anvilmux/anvilmux";
-import { setLogDestination } from "@anvilmux/telemetry";
+import { newSystemTimers } from "@anvilmux/common";
+import { newStandardOutputWriter, setLogDestination } from "@anvilmux/telemetry";
 import type { Sade } from "sade";
 import { exitCodes } from "../exitCodes";
 
@@ -34,7 +35,8 @@
         process.stdout.write(describeSettings(loaded).join("\n") + "\n");
         return;
     }
-    setLogDestination(line => process.stdout.write(line + "\n"));
+    const writer = newStandardOutputWriter(newSystemTimers());
+    setLogDestination(line => writer.write(line));
     const instance = new Instance(loaded.settings);
     await instance.start();
     listenToSignals(instance);
--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,6 +1,7 @@
 /** @type {import("jest").Config} */
 export default {
     testEnvironment: "node",
+    setupFiles: ["<rootDir>/scripts/enableLogs.mjs"],
     extensionsToTreatAsEsm: [".ts"],
     testMatch: ["**/tests/**/*.test.ts", "<rootDir>/scenarios/src/**/*.test.ts"],
     modulePathIgnorePatterns: ["<rootDir>/dist", "<rootDir>/target"],
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -283,9 +283,7 @@
         }
         this.lastListClock = list.clock;
         this.time.noteClock(list.clock);
-        if (this.incarnation !== list.incarnation) {
-            this.beginLife(list.incarnation);
-        }
+        this.beginLife(list.incarnation);
         const hadEnds = list.ends.some(end => end.number > this.lastSeen);
         for (const end of list.ends) {
             if (end.number > this.lastSeen) {
@@ -307,9 +305,9 @@
 
     /** A new life of the worker runs nothing of before and numbers its ends anew. */
     private beginLife(incarnation: number): void {
-        const isFirst = this.incarnation === 0;
+        const isOther = this.incarnation !== 0 && this.incarnation !== incarnation;
         this.incarnation = incarnation;
-        if (!isFirst) {
+        if (isOther) {
             this.options.logger.warn("worker began a new life", { worker: this.id, lostRuns: this.runs.size });
             this.lastSeen = 0;
             this.endAll("lost");
--- /dev/null
+++ b/packages/telemetry/tests/logs.test.ts
@@ -0,0 +1,56 @@
+/** Logs: lines are written, and a slow reader delays nothing. */
+
+import { VirtualTime } from "@anvilmux/common";
+import { LineWriter, newLogger, setLogDestination } from "@anvilmux/telemetry";
+
+describe("logger", () => {
+    test("writes a JSON line with message, fields and the logger's own fields", () => {
+        const lines: string[] = [];
+        setLogDestination(line => lines.push(line));
+        newLogger("info", { instance: "entry-1" }).info("job answered", { job: "a1", ageMs: 5 });
+        newLogger("warn", {}).info("below the level");
+        expect(lines).toHaveLength(1);
+        expect(JSON.parse(lines[0]!)).toMatchObject({
+            message: "job answered",
+            context: { instance: "entry-1", job: "a1", ageMs: 5 },
+        });
+    });
+});
+
+describe("line writer", () => {
+    test("gathers lines into one write", async () => {
+        const time = new VirtualTime();
+        const written: string[] = [];
+        const writer = new LineWriter(async text => void written.push(text), time);
+        writer.write("one");
+        writer.write("two");
+        await time.advance(100);
+        expect(written).toEqual(["one\ntwo\n"]);
+    });
+
+    test("a reader that does not read delays nothing; what was left out is counted and told", async () => {
+        const time = new VirtualTime();
+        const written: string[] = [];
+        let release: () => void = () => undefined;
+        let reads = false;
+        const writer = new LineWriter(async text => {
+            if (!reads) {
+                await new Promise<void>(resolve => release = resolve);
+            }
+            written.push(text);
+        }, time);
+        writer.write("first");
+        await time.advance(100);
+        const line = "x".repeat(1_000);
+        for (let count = 0; count < 2_000; count++) {
+            writer.write(line);
+        }
+        expect(writer.droppedLines).toBeGreaterThan(900);
+        const { droppedLines } = writer;
+        reads = true;
+        release();
+        await time.advance(100);
+        expect(written.join("")).toContain(`"dropped":${droppedLines}`);
+        expect(writer.droppedLines).toBe(0);
+    });
+});
