The last entry of a zone keeps its workers while it leaves

Change: an entry is unfit, leaving or ready; a leaving one owns workers while no ready one is heard.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -6,7 +6,7 @@
 import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
 import { ConfigurationHolder } from "@anvilmux/control";
 import { chooseTightest, JobDesk, Pool, QueueTable, roomReportPeriodMs, ZoneElection } from "@anvilmux/dispatch";
-import type { ConnectWorker, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
+import type { ConnectWorker, Fitness, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
 import { ControlLinks, OwnerLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
 import type { EntryMember, FromPeer, ZoneOwner } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
@@ -72,7 +72,7 @@
             selfId: this.self.id,
             selfNumber: this.self.incarnation,
             getCandidates: () => this.mesh.getCandidates(),
-            isEligible: () => this.isReady,
+            getFitness: () => this.getFitness(),
             isIsolated: () => this.mesh.getCandidates().length === 0 && (this.control?.openCount ?? 0) === 0,
             clock,
             logger,
@@ -148,6 +148,13 @@
         this.mesh.tellState();
     }
 
+    private getFitness(): Fitness {
+        if (!this.isConfigured) {
+            return "unfit";
+        }
+        return this.leaving ? "leaving" : "ready";
+    }
+
     private newMesh(): ZoneMesh {
         const { environment, logger, host, linkPort } = this.options;
         return new ZoneMesh({
@@ -156,7 +163,7 @@
             port: linkPort,
             checker: this.checker,
             environment: { ...environment, logger },
-            getState: () => ({ claim: this.election.claim, eligible: this.isReady }),
+            getState: () => ({ claim: this.election.claim, fitness: this.getFitness() }),
             onChange: () => this.election.update(),
             onReply: (peerId, message) => this.noteReply(peerId, message),
             onPeerLost: peerId => this.desk.noteOwnerLost(peerId),
--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -11,18 +11,21 @@
 export interface Candidate {
     readonly id: string;
     readonly claim: number;
-    /** False when it leaves or is not ready. */
-    readonly eligible: boolean;
+    readonly fitness: Fitness;
 }
 
+/** How fit an entry is to own workers: not at all, only while no ready entry is heard, or ready. */
+export type Fitness = "unfit" | "leaving" | "ready";
+
+const ranks: Readonly<Record<Fitness, number>> = { unfit: 0, leaving: 1, ready: 2 };
+
 export interface ZoneElectionOptions {
     readonly selfId: string;
     /** Sets this entry's tokens apart from those of others that claim in the same millisecond. */
     readonly selfNumber: number;
     /** The entries that are heard now, without this one. */
     readonly getCandidates: () => readonly Candidate[];
-    /** True when this entry may own workers. */
-    readonly isEligible: () => boolean;
+    readonly getFitness: () => Fitness;
     /** True when neither another entry nor control is heard: this entry is probably the one that is cut off. */
     readonly isIsolated: () => boolean;
     readonly clock: Clock;
@@ -70,8 +73,11 @@
             (best, candidate) => candidate.claim > (best?.claim ?? 0) ? candidate : best,
             undefined,
         );
-        if (this.claimed > 0 && (!this.options.isEligible() || (highest?.claim ?? 0) > this.claimed)) {
-            this.setClaim(0, highest ? `"${highest.id}" claims with a higher token` : "this entry leaves");
+        if (this.claimed > 0 && (highest?.claim ?? 0) > this.claimed) {
+            this.setClaim(0, `"${highest?.id}" claims with a higher token`);
+        }
+        if (this.claimed > 0 && this.getOwnRank() < getHighestRank(candidates)) {
+            this.setClaim(0, "this entry leaves and another is ready");
         }
         if (this.claimed === 0 && !highest) {
             this.considerClaiming(candidates);
@@ -103,13 +109,14 @@
     }
 
     private considerClaiming(candidates: readonly Candidate[]): void {
-        const { clock, selfId, isEligible } = this.options;
+        const { clock, selfId } = this.options;
         const now = clock.now();
         this.ownerlessSince ??= now;
-        const first = [...candidates.filter(candidate => candidate.eligible).map(candidate => candidate.id), selfId]
-            .sort()[0];
+        const rank = this.getOwnRank();
+        const equals = candidates.filter(candidate => ranks[candidate.fitness] === rank);
+        const isFirst = rank >= getHighestRank(candidates) && equals.every(candidate => selfId < candidate.id);
         const isTooEarly = now < this.yieldsUntil || now - this.ownerlessSince < this.getPatience();
-        if (!isEligible() || first !== selfId || isTooEarly) {
+        if (rank === ranks.unfit || !isFirst || isTooEarly) {
             return;
         }
         const fromClock = Math.floor(clock.wallNow()) * tokensPerMillisecond;
@@ -118,6 +125,10 @@
         this.setClaim(token, "no entry that is heard claims");
     }
 
+    private getOwnRank(): number {
+        return ranks[this.options.getFitness()];
+    }
+
     /** An owner that was known leaves a gap worth closing at once; at the start others may still be joining. */
     private getPatience(): Milliseconds {
         if (this.options.isIsolated()) {
@@ -143,3 +154,6 @@
         }
     }
 }
+
+const getHighestRank = (candidates: readonly Candidate[]): number =>
+    Math.max(0, ...candidates.map(candidate => ranks[candidate.fitness]));
--- /dev/null
+++ b/packages/dispatch/tests/ZoneElection.test.ts
@@ -0,0 +1,107 @@
+/** Who owns a zone's workers: claims, handing over, isolation, and tokens that workers refuse. */
+
+import { VirtualTime } from "@anvilmux/common";
+import { ZoneElection } from "@anvilmux/dispatch";
+import type { Candidate, Fitness } from "@anvilmux/dispatch";
+import { newSilentLogger } from "@anvilmux/telemetry";
+
+class Entry {
+    readonly election: ZoneElection;
+    candidates: readonly Candidate[] = [];
+    fitness: Fitness = "ready";
+    isIsolated = false;
+
+    constructor(readonly id: string, readonly time: VirtualTime, number = 1) {
+        this.election = new ZoneElection({
+            selfId: id,
+            selfNumber: number,
+            getCandidates: () => this.candidates,
+            getFitness: () => this.fitness,
+            isIsolated: () => this.isIsolated,
+            clock: time,
+            logger: newSilentLogger(),
+            onClaim: () => undefined,
+            onOwner: () => undefined,
+        });
+        time.every(50, () => this.election.update());
+    }
+}
+
+const ready = (id: string, claim = 0): Candidate => ({ id, claim, fitness: "ready" });
+
+describe("zone election", () => {
+    test("the first of the ready entries claims after others had time to join", async () => {
+        const time = new VirtualTime();
+        const first = new Entry("a", time);
+        const second = new Entry("b", time);
+        first.candidates = [ready("b")];
+        second.candidates = [ready("a")];
+        await time.advance(300);
+        expect(first.election.isOwner).toBe(false);
+        await time.advance(300);
+        expect([first.election.isOwner, second.election.claim]).toEqual([true, 0]);
+    });
+
+    test("of two claims the higher one stands", async () => {
+        const time = new VirtualTime();
+        const entry = new Entry("a", time);
+        await time.advance(600);
+        const { claim } = entry.election;
+        entry.candidates = [ready("b", claim + 1)];
+        await time.advance(50);
+        expect([entry.election.claim, entry.election.ownerId]).toEqual([0, "b"]);
+    });
+
+    test("an owner that leaves hands over to a ready entry, which claims at once with a higher token", async () => {
+        const time = new VirtualTime();
+        const owner = new Entry("a", time);
+        await time.advance(600);
+        const { claim } = owner.election;
+        const next = new Entry("b", time);
+        next.candidates = [ready("a", claim)];
+        owner.candidates = [ready("b")];
+        await time.advance(50);
+        owner.fitness = "leaving";
+        await time.advance(50);
+        expect(owner.election.claim).toBe(0);
+        next.candidates = [{ id: "a", claim: 0, fitness: "leaving" }];
+        next.election.update();
+        expect(next.election.claim).toBeGreaterThan(claim);
+    });
+
+    test("the last entry of a zone owns the workers until it ends, also while it leaves", async () => {
+        const time = new VirtualTime();
+        const owner = new Entry("a", time);
+        await time.advance(600);
+        owner.fitness = "leaving";
+        owner.candidates = [{ id: "b", claim: 0, fitness: "leaving" }];
+        await time.advance(100);
+        expect(owner.election.isOwner).toBe(true);
+    });
+
+    test("a leaving entry takes over when no ready one is left", async () => {
+        const time = new VirtualTime();
+        const entry = new Entry("a", time);
+        entry.fitness = "leaving";
+        entry.candidates = [ready("b", 5_000)];
+        await time.advance(100);
+        entry.candidates = [];
+        await time.advance(50);
+        expect(entry.election.isOwner).toBe(true);
+    });
+
+    test("a refused token is raised, but an entry that hears nobody yields", async () => {
+        const time = new VirtualTime();
+        const entry = new Entry("a", time);
+        await time.advance(600);
+        const { claim } = entry.election;
+        entry.election.noteFenced(claim);
+        const raised = entry.election.claim;
+        expect(raised).toBeGreaterThan(claim);
+        entry.isIsolated = true;
+        entry.election.noteFenced(raised);
+        expect(entry.election.claim).toBe(0);
+        await time.advance(2_000);
+        expect(entry.election.claim).toBe(0);
+    });
+});
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -1,7 +1,7 @@
 /** The connections among the entries of a zone: each calls every other one and tells it its state. */
 
 import type { Clock, Milliseconds } from "@anvilmux/common";
-import type { Candidate, FreeRoom } from "@anvilmux/dispatch";
+import type { Candidate, Fitness, FreeRoom } from "@anvilmux/dispatch";
 import { Link, LinkServer } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment, Session } from "@anvilmux/links";
 import type { EntryMember, FromPeer, ToPeer } from "./messages";
@@ -12,7 +12,7 @@
     readonly port: number;
     readonly checker: ChannelChecker;
     readonly environment: LinkEnvironment;
-    readonly getState: () => { readonly claim: number; readonly eligible: boolean; };
+    readonly getState: () => { readonly claim: number; readonly fitness: Fitness; };
     /** Something about the other entries changed. */
     readonly onChange: () => void;
     readonly onReply: (peerId: string, message: FromPeer) => void;
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,7 +1,7 @@
 /** Messages on the held connections between entries and control, and between the entries of a zone. */
 
 import type { Address, JobId } from "@anvilmux/common";
-import type { FreeRoom, JobAnswer, JobRequest, WorkerAnnouncement } from "@anvilmux/dispatch";
+import type { Fitness, FreeRoom, JobAnswer, JobRequest, WorkerAnnouncement } from "@anvilmux/dispatch";
 
 /** An entry as others know it. */
 export interface EntryMember {
@@ -41,7 +41,7 @@
         readonly id: string;
         readonly incarnation: number;
         readonly claim: number;
-        readonly eligible: boolean;
+        readonly fitness: Fitness;
     }
     /** Opens a connection between the owners of two zones. */
     | { readonly type: "zone-owner"; readonly id: string; readonly zone: string; }
