A list that was overtaken by a start's answer loses no run

Ruled out: spilling (the second start came from the same owner, 8 ms later). Change: a run counts as missing only by a list whose clock is later than the worker's last word on the run. The test with start orders slower than watches failed before.

--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -13,6 +13,8 @@
     /** Undefined for a run that an earlier owner started. */
     needs: Room | undefined;
     readonly orderedAt: Milliseconds;
+    /** On the worker's clock: when the worker last said that it runs. */
+    confirmedAt: Milliseconds;
     /** On the worker's clock: when a start without an answer can no longer be carried out. */
     readonly startDeadline: Milliseconds;
     state: "ordered" | "running" | "uncertain";
@@ -24,6 +26,7 @@
 
 export const newRun = (given: NewRun): Run => ({
     ...given,
+    confirmedAt: 0,
     state: "ordered",
     stopOrderedAt: undefined,
     percent: 0,
@@ -84,7 +87,9 @@
             if (listed.get(run.task) === run.run || run.orderedAt >= sentAt) {
                 return false;
             }
-            return run.state === "running" || (run.state === "uncertain" && list.clock > run.startDeadline);
+            return run.state === "running"
+                ? list.clock > run.confirmedAt
+                : run.state === "uncertain" && list.clock > run.startDeadline;
         });
     }
 }
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -159,9 +159,8 @@
             case "started":
                 this.time.noteClock(answer.clock);
                 this.paused.noteAnswered();
-                if (run.state === "ordered") {
-                    run.state = "running";
-                }
+                run.confirmedAt = answer.clock;
+                run.state = "running";
                 return;
             case "refused":
                 this.noteRefusal(run, answer.reason);
@@ -329,6 +328,7 @@
             }
             else if (record.run === item.run) {
                 record.state = "running";
+                record.confirmedAt = list.clock;
                 record.percent = item.percent;
             }
         }
--- a/packages/dispatch/tests/Pool.test.ts
+++ b/packages/dispatch/tests/Pool.test.ts
@@ -114,6 +114,24 @@
         expect(world.answers.size).toBe(12);
     });
 
+    test("a list that a start's answer overtakes does not lose the run", async () => {
+        const world = new PoolWorld(2);
+        const pool = world.newPool(1);
+        await world.time.advance(20);
+        for (const worker of world.workers) {
+            worker.startTravelMs = 4;
+            worker.listTravelMs = 6;
+        }
+        for (let job = 0; job < 60; job++) {
+            const options = { runMs: 40 + job % 7, objectiveMs: 4_000, millicores: 1_000 };
+            world.submit(pool, world.newJob(`job-${job}`, options));
+            await world.time.advance(1 + job % 5);
+        }
+        await world.time.advance(2_000);
+        expect(world.doubleRuns).toEqual([]);
+        expect(world.begun).toHaveLength(60);
+    });
+
     test("a worker that began a new life has lost its runs, and they start again", async () => {
         const world = new PoolWorld(1);
         const pool = world.newPool(1);
--- a/stand-ins/src/LeasedWorker.ts
+++ b/stand-ins/src/LeasedWorker.ts
@@ -56,6 +56,10 @@
     isCutOff = false;
     /** Start orders go unanswered and are carried out after this time; 0 carries them out at once. */
     orderDelayMs: Milliseconds = 0;
+    /** Time that answers to watches travel; answers on other connections overtake them. */
+    listTravelMs: Milliseconds = 0;
+    /** Time that start orders travel; watches on other connections overtake them. */
+    startTravelMs: Milliseconds = 1;
     failsAll = false;
     hangs = false;
     /** Rate of the worker's clock. */
@@ -119,7 +123,7 @@
     }
 
     private async start(order: StartOrder): Promise<StartAnswer> {
-        await this.wait(exchangeMs);
+        await this.wait(this.startTravelMs);
         if (this.isCutOff || this.orderDelayMs > 0) {
             if (!this.isCutOff) {
                 this.options.timers.after(this.orderDelayMs, () => void this.carryOut(order));
@@ -195,9 +199,11 @@
         if (this.ends.length === 0 && order.waitMs > 0) {
             await Promise.race([this.wait(order.waitMs), new Promise<void>(resolve => this.waiters.push(resolve))]);
         }
-        return this.isCutOff
-            ? { kind: "unanswered", reason: "no answer in time" }
-            : { kind: "listed", list: this.getList() };
+        const list = this.getList();
+        if (this.listTravelMs > 0) {
+            await this.wait(this.listTravelMs);
+        }
+        return this.isCutOff ? { kind: "unanswered", reason: "no answer in time" } : { kind: "listed", list };
     }
 
     private getList(): WorkerList {
@@ -205,7 +211,7 @@
             clock: this.now(),
             incarnation: this.incarnation,
             running: [...this.runs.values()].map(({ task, run }) => ({ task, run, percent: 0 })),
-            ends: this.ends,
+            ends: [...this.ends],
         };
     }
 
