A run is missing only by a list asked for after the worker was heard to run it

Ruled out: cancels and lost homes (the run numbers rise within one job), new lives of workers, stops by this owner. Change: lists count against a run only when asked for after its confirmation (on our clock), against an unanswered start only when asked for after its deadline; each missing run is logged with the age of the list.

--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -106,11 +106,13 @@
     }
 
     private add(announcement: WorkerAnnouncement): void {
-        const session = new WorkerSession({
+        const session: WorkerSession = new WorkerSession({
             ...this.options,
             announcement,
             driver: this.options.connect(announcement),
-            onGone: gone => this.remove(gone),
+            onEnd: (run, outcome) => this.options.onEnd(session, run, outcome),
+            onFound: run => this.options.onFound(session, run),
+            onGone: () => this.remove(session),
         });
         this.workers.set(announcement.id, { session, record: new WorkerRecord(this.options.clock) });
     }
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -13,7 +13,7 @@
     /** Undefined for a run that an earlier owner started. */
     needs: Room | undefined;
     readonly orderedAt: Milliseconds;
-    /** On the worker's clock: when the worker last said that it runs. */
+    /** On our clock: when the worker was last heard to run it. */
     confirmedAt: Milliseconds;
     /** On the worker's clock: when a start without an answer can no longer be carried out. */
     readonly startDeadline: Milliseconds;
@@ -80,16 +80,19 @@
         }
     }
 
-    /** Runs that a whole list, asked for at `sentAt`, shows to be neither running nor able to begin any more. */
-    findMissing(list: WorkerList, sentAt: Milliseconds): readonly Run[] {
+    /**
+     * Runs that a whole list shows to be neither running nor able to begin any more. Only what was known when the list
+     * was asked for counts, as orders and lists overtake each other: `sentAt` is on our clock, `sentClock` the worker's.
+     */
+    findMissing(list: WorkerList, sentAt: Milliseconds, sentClock: Milliseconds): readonly Run[] {
         const listed = new Map(list.running.map(item => [item.task, item.run]));
         return this.getAll().filter(run => {
-            if (listed.get(run.task) === run.run || run.orderedAt >= sentAt) {
+            if (listed.get(run.task) === run.run) {
                 return false;
             }
             return run.state === "running"
-                ? list.clock > run.confirmedAt
-                : run.state === "uncertain" && list.clock > run.startDeadline;
+                ? sentAt > run.confirmedAt
+                : run.state === "uncertain" && sentClock > run.startDeadline;
         });
     }
 }
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -4,8 +4,7 @@
  */
 
 import { sleep } from "@anvilmux/common";
-import type { Clock, Milliseconds, Timers } from "@anvilmux/common";
-import type { Logger, Metrics } from "@anvilmux/telemetry";
+import type { Milliseconds } from "@anvilmux/common";
 import {
     endGatherMs,
     firstRetryPauseMs,
@@ -22,38 +21,11 @@
 import { newRun, RunTable } from "./RunTable";
 import type { Run, RunOutcome } from "./RunTable";
 import { fits, subtractRoom } from "./types";
-import type {
-    Room,
-    RunEnd,
-    StartAnswer,
-    TaskName,
-    WorkerAnnouncement,
-    WorkerDriver,
-    WorkerId,
-    WorkerList,
-} from "./types";
+import type { Room, RunEnd, StartAnswer, TaskName, WorkerAnnouncement, WorkerId, WorkerList } from "./types";
 import { WorkerPause } from "./WorkerPause";
+import type { WorkerSessionOptions } from "./workerSessionOptions";
 import { WorkerTime } from "./WorkerTime";
 
-export interface WorkerSessionOptions {
-    readonly announcement: WorkerAnnouncement;
-    readonly driver: WorkerDriver;
-    readonly getFence: () => number;
-    readonly clock: Clock;
-    readonly timers: Timers;
-    readonly logger: Logger;
-    readonly metrics: Metrics;
-    readonly onEnd: (session: WorkerSession, run: Run, outcome: RunOutcome) => void;
-    /** Called for a run that an earlier owner started. */
-    readonly onFound: (session: WorkerSession, run: Run) => void;
-    /** Called when the worker was listed for the first time, became reachable, or lost runs. */
-    readonly onChange: () => void;
-    /** Called when the worker obeys a higher fencing token. */
-    readonly onFenced: (fence: number) => void;
-    /** Called when another worker answers at the address; the session has ended then. */
-    readonly onGone: (session: WorkerSession) => void;
-}
-
 export class WorkerSession {
     private announced: WorkerAnnouncement;
     private readonly runs = new RunTable();
@@ -159,7 +131,7 @@
             case "started":
                 this.time.noteClock(answer.clock);
                 this.paused.noteAnswered();
-                run.confirmedAt = answer.clock;
+                run.confirmedAt = this.options.clock.now();
                 run.state = "running";
                 return;
             case "refused":
@@ -328,13 +300,28 @@
             }
             else if (record.run === item.run) {
                 record.state = "running";
-                record.confirmedAt = list.clock;
+                record.confirmedAt = this.options.clock.now();
                 record.percent = item.percent;
             }
         }
         if (list.ends.length < maximumListedEnds) {
-            const missing = this.runs.findMissing(list, sentAt);
-            missing.forEach(run => this.end(run, run.state === "running" ? "lost" : "never-started"));
+            this.endMissing(list, sentAt);
+        }
+    }
+
+    private endMissing(list: WorkerList, sentAt: Milliseconds): void {
+        const sentClock = list.clock - (this.options.clock.now() - sentAt);
+        for (const run of this.runs.findMissing(list, sentAt, sentClock)) {
+            this.options.logger.info("run missing from the worker's list", {
+                worker: this.id,
+                task: run.task,
+                run: run.run,
+                state: run.state,
+                listAgeMs: Math.round(this.options.clock.now() - sentAt),
+                confirmedMs: Math.round(sentAt - run.confirmedAt),
+                listed: list.running.length,
+            });
+            this.end(run, run.state === "running" ? "lost" : "never-started");
         }
     }
 
@@ -348,7 +335,7 @@
         });
         record.state = "running";
         this.runs.add(record);
-        this.options.onFound(this, record);
+        this.options.onFound(record);
     }
 
     private noteSilence(reason: string): Milliseconds {
@@ -377,7 +364,7 @@
         }
         this.endAll("lost");
         this.close();
-        this.options.onGone(this);
+        this.options.onGone();
     }
 
     private repeatStops(): void {
@@ -395,6 +382,6 @@
 
     private end(run: Run, outcome: RunOutcome): void {
         this.runs.remove(run);
-        this.options.onEnd(this, run, outcome);
+        this.options.onEnd(run, outcome);
     }
 }
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -18,7 +18,7 @@
 export const unansweredToPause = 2;
 export const unansweredPauseMs = 1_000;
 /** Time after the validity of an unanswered start at which the worker is looked at. */
-export const lookAfterValidityMs = 15;
+export const lookAfterValidityMs = 30;
 /** Ends that finish within this time are taken note of by one look. */
 export const endGatherMs = 2;
 export const firstRetryPauseMs = 100;
