explain reads logs: a request's lines and what its instances believed meanwhile

Cause: on-call engineers have only logs; grep shows lines of one id, not the lost connection that explains them.

--- a/anvilmux-daemon/src/commandLine.ts
+++ b/anvilmux-daemon/src/commandLine.ts
@@ -22,6 +22,7 @@
     "key",
     "key-id",
     "keep",
+    "logs",
     "data-folder",
     "print-settings",
     "help",
--- a/anvilmux-daemon/src/commands/operate.ts
+++ b/anvilmux-daemon/src/commands/operate.ts
@@ -1,6 +1,9 @@
 /** Commands that look at or change a running deployment. */
 
 import type { DeploymentStatus } from "@anvilmux/anvilmux";
+import { getErrorMessage } from "@anvilmux/common";
+import { explainLogs, formatExplainedLine } from "@anvilmux/telemetry";
+import { readFileSync } from "node:fs";
 import type { Sade } from "sade";
 import { exitCodes } from "../exitCodes";
 import { callOperator, CommandError, print, toColumns } from "../operatorClient";
@@ -11,9 +14,9 @@
     withConnection(program.command("status").describe("Show instances, configuration and control group")).action(
         showStatus,
     );
-    withConnection(program.command("explain <id>").describe("Tell what was decided for a request or job")).action(
-        explain,
-    );
+    withConnection(program.command("explain <id>").describe("Tell what was decided for a request or job"))
+        .option("--logs", "Log files to read instead of asking instances, as FILE,FILE; - is standard input")
+        .action(explain);
     withConnection(program.command("upstreams").describe("List the zone's announced upstreams"))
         .action((flags: ConnectionFlags) => list(flags, "/v1/upstreams", ["service", "id", "address", "slots"]));
     withConnection(program.command("workers").describe("List the zone's announced workers"))
@@ -63,7 +66,11 @@
     ]);
 };
 
-const explain = async (id: string, flags: ConnectionFlags): Promise<void> => {
+const explain = async (id: string, flags: ConnectionFlags & { readonly logs?: string; }): Promise<void> => {
+    if (flags.logs !== undefined) {
+        explainFromLogs(id, flags, flags.logs.split(","));
+        return;
+    }
     const result = await callOperator(flags, "GET", `/v1/explain/${encodeURIComponent(id)}`) as {
         readonly explanations: readonly { readonly instance: string; readonly lines: readonly string[]; }[];
         readonly unreachable: readonly string[];
@@ -73,6 +80,25 @@
     print(flags, result, [...lines, ...missing]);
 };
 
+const explainFromLogs = (id: string, flags: ConnectionFlags, files: readonly string[]): void => {
+    const explained = explainLogs(files.flatMap(readLines), id);
+    if (explained.length === 0) {
+        throw new CommandError(`no line of ${files.join(", ")} names "${id}"`, exitCodes.failure);
+    }
+    print(flags, explained, explained.map(line => formatExplainedLine(line, explained[0]!.time)));
+};
+
+const standardInput = 0;
+
+const readLines = (file: string): readonly string[] => {
+    try {
+        return readFileSync(file === "-" ? standardInput : file, "utf8").split("\n");
+    }
+    catch (error) {
+        throw new CommandError(`file "${file}" cannot be read: ${getErrorMessage(error)}`, exitCodes.usage);
+    }
+};
+
 const list = async (flags: ConnectionFlags, path: string, columns: readonly string[]): Promise<void> => {
     const items = await callOperator(flags, "GET", path) as readonly Readonly<Record<string, unknown>>[];
     const rows = items.map(item => columns.map(column => String(item[column] ?? "")));
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,6 @@
 /** Logs, metrics, spans and the decisions behind `explain`. */
 export * from "./DecisionLog";
+export * from "./explainLogs";
 export * from "./LineWriter";
 export * from "./logger";
 export * from "./Metrics";
