The control group takes in new control instances and lets voters go that are gone for good

Cause: only a new life of a known instance was taken in; a control instance at another address, or one beyond the first three, never joined. Change: repairs are a function of members, announcements and silences; newcomers join up to 7 voters, and a silent voter leaves once more than 3 are there.

--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -4,15 +4,15 @@
  */
 
 import { getErrorMessage, sleep } from "@anvilmux/common";
-import type { Address, Clock, Timers } from "@anvilmux/common";
+import type { Address, Clock, Milliseconds, Timers } from "@anvilmux/common";
 import type { ManifestAuthority } from "@anvilmux/manifest";
 import type {
     Command,
     CommandResult,
     FormReply,
     FormRequest,
-    GroupMember,
     IdentifyReply,
+    MembershipChange,
     ProposeReply,
     ProposeRequest,
     ReadGroupReply,
@@ -23,7 +23,6 @@
     GroupConfigurationSchema,
     GroupMemberSchema,
     IdentifyReplySchema,
-    MembershipChangeSchema,
     ProposeReplySchema,
     ReadGroupReplySchema,
 } from "@anvilmux/protocol";
@@ -32,14 +31,10 @@
 import { create } from "@bufbuild/protobuf";
 import { proposalTimeoutMs } from "./constants";
 import { ControlError } from "./errors";
+import { getNextRepair } from "./groupRepair";
+import type { AnnouncedReplica } from "./groupRepair";
 import type { Replica } from "./Replica";
 
-/** The data folder an instance announces now. */
-export interface AnnouncedReplica {
-    readonly memberId: string;
-    readonly address: Address;
-}
-
 export interface ControlServiceOptions {
     readonly replica: Replica;
     readonly selfAddress: Address;
@@ -59,6 +54,9 @@
 
 export class ControlService {
     private stopped = false;
+    /** When this leader last heard each member. */
+    private readonly heardAt = new Map<string, Milliseconds>();
+    private leadingSince: Milliseconds = 0;
 
     constructor(private readonly options: ControlServiceOptions) {}
 
@@ -216,12 +214,14 @@
         return replica.form(group);
     }
 
-    /** While leading, replaces voters whose instance announces another data folder than the group knows. */
+    /** While leading, brings the group closer to the control instances that run. */
     private async repairGroup(): Promise<void> {
         const { timers, logger, replica } = this.options;
         while (!this.stopped) {
             await sleep(timers, repairPeriodMs);
             if (replica.role !== "leader") {
+                this.heardAt.clear();
+                this.leadingSince = this.options.clock.now();
                 continue;
             }
             const change = this.getRepair();
@@ -237,31 +237,18 @@
         }
     }
 
-    /** The next step of a replacement: add the new life as a learner, promote it, remove the old life. */
-    private getRepair() {
-        const { members } = this.options.replica.group;
-        for (const announced of this.options.getAnnouncedReplicas()) {
-            const present = members.find(member => member.memberId === announced.memberId);
-            const former = members.find(member => isOtherLife(member, announced));
-            if (former && !present) {
-                return create(MembershipChangeSchema, {
-                    addLearner: create(GroupMemberSchema, { ...announced, voter: false }),
-                });
-            }
-            if (former && present && !present.voter) {
-                return create(MembershipChangeSchema, { promote: present.memberId });
-            }
-            if (former && present?.voter) {
-                return create(MembershipChangeSchema, { remove: former.memberId });
+    private getRepair(): MembershipChange | undefined {
+        const { replica, clock } = this.options;
+        const now = clock.now();
+        for (const progress of replica.getProgress()) {
+            if (progress.reachable) {
+                this.heardAt.set(progress.memberId, now);
             }
         }
-        return undefined;
+        return getNextRepair({
+            members: replica.group.members,
+            announced: this.options.getAnnouncedReplicas(),
+            getSilence: memberId => now - (this.heardAt.get(memberId) ?? this.leadingSince),
+        });
     }
 }
-
-/** The instance part of a member id. */
-export const getInstanceOfMember = (memberId: string): string => memberId.slice(0, memberId.lastIndexOf("~"));
-
-const isOtherLife = (member: GroupMember, announced: AnnouncedReplica): boolean =>
-    member.memberId !== announced.memberId
-    && getInstanceOfMember(member.memberId) === getInstanceOfMember(announced.memberId);
--- /dev/null
+++ b/packages/control/src/groupRepair.ts
@@ -0,0 +1,79 @@
+/**
+ * The next change that brings the control group closer to the control instances that run: lives that lost their data
+ * folder are replaced, new instances join, and voters that are gone for good leave once others have taken their place.
+ */
+
+import type { Address, Milliseconds } from "@anvilmux/common";
+import type { GroupMember, MembershipChange } from "@anvilmux/protocol";
+import { GroupMemberSchema, MembershipChangeSchema } from "@anvilmux/protocol";
+import { create } from "@bufbuild/protobuf";
+
+/** The data folder an instance announces now. */
+export interface AnnouncedReplica {
+    readonly memberId: string;
+    readonly address: Address;
+}
+
+export interface RepairInput {
+    readonly members: readonly GroupMember[];
+    readonly announced: readonly AnnouncedReplica[];
+    /** How long the leader has not heard a member; 0 while it does. */
+    readonly getSilence: (memberId: string) => Milliseconds;
+}
+
+export const maximumVoters = 7;
+/** Voters that are kept even when one of them is gone. */
+export const leastVoters = 3;
+/** Silence after which a voter whose instance is not announced counts as gone for good. */
+export const goneAfterMs = 6_000;
+
+/** The instance part of a member id. */
+export const getInstanceOfMember = (memberId: string): string => memberId.slice(0, memberId.lastIndexOf("~"));
+
+/** Undefined when the group is as it should be. */
+export const getNextRepair = (input: RepairInput): MembershipChange | undefined =>
+    replaceFormerLife(input) ?? admitNewcomer(input) ?? dropGoneVoter(input);
+
+const isOtherLife = (member: GroupMember, announced: AnnouncedReplica): boolean =>
+    member.memberId !== announced.memberId
+    && getInstanceOfMember(member.memberId) === getInstanceOfMember(announced.memberId);
+
+/** Adds the new life as a learner, promotes it, and removes the old life. */
+const replaceFormerLife = ({ members, announced }: RepairInput): MembershipChange | undefined => {
+    for (const replica of announced) {
+        const former = members.find(member => isOtherLife(member, replica));
+        const present = members.find(member => member.memberId === replica.memberId);
+        if (former && !present) {
+            return addLearner(replica);
+        }
+        if (former && present) {
+            const change = present.voter ? { remove: former.memberId } : { promote: present.memberId };
+            return create(MembershipChangeSchema, change);
+        }
+    }
+    return undefined;
+};
+
+const admitNewcomer = ({ members, announced }: RepairInput): MembershipChange | undefined => {
+    for (const replica of announced) {
+        const present = members.find(member => member.memberId === replica.memberId);
+        if (!present && members.length < maximumVoters) {
+            return addLearner(replica);
+        }
+        if (present && !present.voter) {
+            return create(MembershipChangeSchema, { promote: present.memberId });
+        }
+    }
+    return undefined;
+};
+
+const dropGoneVoter = ({ members, announced, getSilence }: RepairInput): MembershipChange | undefined => {
+    const voters = members.filter(member => member.voter);
+    const gone = voters.find(member =>
+        getSilence(member.memberId) > goneAfterMs && !announced.some(replica => replica.memberId === member.memberId)
+    );
+    return gone && voters.length > leastVoters ? create(MembershipChangeSchema, { remove: gone.memberId }) : undefined;
+};
+
+const addLearner = (replica: AnnouncedReplica): MembershipChange =>
+    create(MembershipChangeSchema, { addLearner: create(GroupMemberSchema, { ...replica, voter: false }) });
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./ControlState";
 export * from "./errors";
 export * from "./group";
+export * from "./groupRepair";
 export * from "./Replica";
 export * from "./ReplicaStorage";
 export * from "./types";
