Two entries never own a zone's workers with one token

Both entries of a zone got the first configuration in the same millisecond, each knew the other as not ready, and both claimed; with equal start milliseconds modulo 1,024 their tokens were equal, neither gave way, no worker refused either, and each stopped the other's runs as runs without a job after 0.4 s. Change: of equal claims the smaller id stands; tokens carry a hash of id and start; entries tell their peers when they become ready, and wait from then on before the first claim. Tests for the tie and the wait failed before.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
+import { hashText } from "@anvilmux/common";
 import { ConfigurationHolder } from "@anvilmux/control";
 import { chooseTightest, JobDesk, Pool, QueueTable, roomReportPeriodMs, ZoneElection } from "@anvilmux/dispatch";
 import type { ConnectWorker, Fitness, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
@@ -70,7 +71,7 @@
         this.desk = new JobDesk({ getOwner: () => this.getOwner(), clock, timers, logger, metrics });
         this.election = new ZoneElection({
             selfId: this.self.id,
-            selfNumber: this.self.incarnation,
+            selfNumber: hashText(`${this.self.id} ${this.self.incarnation}`),
             getCandidates: () => this.mesh.getCandidates(),
             getFitness: () => this.getFitness(),
             isIsolated: () => this.mesh.getCandidates().length === 0 && (this.control?.openCount ?? 0) === 0,
@@ -296,6 +297,7 @@
     private putConfiguration(index: number, envelope: string): void {
         if (this.holder.put(BigInt(index), Buffer.from(envelope))) {
             this.queues = new QueueTable(this.holder.configuration?.manifest.queues ?? []);
+            this.mesh.tellState();
             this.election.update();
         }
     }
--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -35,7 +35,7 @@
     readonly onOwner: (ownerId: string | undefined) => void;
 }
 
-const tokensPerMillisecond = 1_024;
+const tokensPerMillisecond = 4_096;
 /** Milliseconds by which a refused token is raised, doubled with each further refusal. */
 const firstTokenStepMs = 1_000;
 /** Time an entry that hears nobody waits before it claims, and after it had to yield. */
@@ -69,12 +69,9 @@
     update(): void {
         const candidates = this.options.getCandidates();
         this.noteTokens(candidates);
-        const highest = candidates.reduce<Candidate | undefined>(
-            (best, candidate) => candidate.claim > (best?.claim ?? 0) ? candidate : best,
-            undefined,
-        );
-        if (this.claimed > 0 && (highest?.claim ?? 0) > this.claimed) {
-            this.setClaim(0, `"${highest?.id}" claims with a higher token`);
+        const highest = getHighestClaimant(candidates);
+        if (this.claimed > 0 && highest && this.isBehind(highest)) {
+            this.setClaim(0, `"${highest.id}" claims with a higher token`);
         }
         if (this.claimed > 0 && this.getOwnRank() < getHighestRank(candidates)) {
             this.setClaim(0, "this entry leaves and another is ready");
@@ -111,12 +108,16 @@
     private considerClaiming(candidates: readonly Candidate[]): void {
         const { clock, selfId } = this.options;
         const now = clock.now();
-        this.ownerlessSince ??= now;
         const rank = this.getOwnRank();
+        if (rank === ranks.unfit) {
+            this.ownerlessSince = undefined;
+            return;
+        }
+        this.ownerlessSince ??= now;
         const equals = candidates.filter(candidate => ranks[candidate.fitness] === rank);
         const isFirst = rank >= getHighestRank(candidates) && equals.every(candidate => selfId < candidate.id);
         const isTooEarly = now < this.yieldsUntil || now - this.ownerlessSince < this.getPatience();
-        if (rank === ranks.unfit || !isFirst || isTooEarly) {
+        if (!isFirst || isTooEarly) {
             return;
         }
         const fromClock = Math.floor(clock.wallNow()) * tokensPerMillisecond;
@@ -125,6 +126,11 @@
         this.setClaim(token, "no entry that is heard claims");
     }
 
+    /** Equal tokens are possible when two entries claim in the same millisecond; the smaller id stands. */
+    private isBehind(other: Candidate): boolean {
+        return other.claim > this.claimed || (other.claim === this.claimed && other.id < this.options.selfId);
+    }
+
     private getOwnRank(): number {
         return ranks[this.options.getFitness()];
     }
@@ -155,5 +161,10 @@
     }
 }
 
+const getHighestClaimant = (candidates: readonly Candidate[]): Candidate | undefined =>
+    candidates
+        .filter(candidate => candidate.claim > 0)
+        .sort((one, other) => other.claim - one.claim || (one.id < other.id ? -1 : 1))[0];
+
 const getHighestRank = (candidates: readonly Candidate[]): number =>
     Math.max(0, ...candidates.map(candidate => ranks[candidate.fitness]));
--- a/packages/dispatch/tests/ZoneElection.test.ts
+++ b/packages/dispatch/tests/ZoneElection.test.ts
@@ -42,6 +42,18 @@
         expect([first.election.isOwner, second.election.claim]).toEqual([true, 0]);
     });
 
+    test("patience counts from the time an entry is fit, so that peers hear of each other first", async () => {
+        const time = new VirtualTime();
+        const entry = new Entry("a", time);
+        entry.fitness = "unfit";
+        await time.advance(5_000);
+        entry.fitness = "ready";
+        await time.advance(100);
+        expect(entry.election.claim).toBe(0);
+        await time.advance(500);
+        expect(entry.election.isOwner).toBe(true);
+    });
+
     test("of two claims the higher one stands", async () => {
         const time = new VirtualTime();
         const entry = new Entry("a", time);
@@ -52,6 +64,20 @@
         expect([entry.election.claim, entry.election.ownerId]).toEqual([0, "b"]);
     });
 
+    test("of two equal claims exactly one stands", async () => {
+        const time = new VirtualTime();
+        const first = new Entry("a", time);
+        const second = new Entry("b", time);
+        await time.advance(600);
+        const { claim } = first.election;
+        expect(second.election.claim).toBe(claim);
+        first.candidates = [ready("b", claim)];
+        second.candidates = [ready("a", claim)];
+        await time.advance(50);
+        expect([first.election.claim, second.election.claim]).toEqual([claim, 0]);
+        expect([first.election.ownerId, second.election.ownerId]).toEqual(["a", "a"]);
+    });
+
     test("an owner that leaves hands over to a ready entry, which claims at once with a higher token", async () => {
         const time = new VirtualTime();
         const owner = new Entry("a", time);
