Starts are valid for 100 ms, and a job starts early enough for a slow worker

Change: orders are given up after 80 ms, starts valid for 100 ms, a look 12 ms later; a job's latest start counts 1.3 times its longest estimate.

--- a/packages/dispatch/src/PoolJob.ts
+++ b/packages/dispatch/src/PoolJob.ts
@@ -1,7 +1,7 @@
 /** A job in the hands of the owner of a zone's workers. */
 
 import type { Milliseconds } from "@anvilmux/common";
-import { takeoverUncertaintyMs } from "./constants";
+import { runTimeMargin, takeoverUncertaintyMs } from "./constants";
 import type { JobHome, JobRequest, TaskRequest } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
@@ -50,7 +50,7 @@
 ): PoolJob => ({
     request,
     receivedAt,
-    startBy: receivedAt + request.objectiveMs - getLongestEstimate(request),
+    startBy: receivedAt + Math.max(0, request.objectiveMs - runTimeMargin * getLongestEstimate(request)),
     tasks: request.tasks.map(task => ({
         request: task,
         state: "waiting",
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -11,14 +11,14 @@
 /** Time after the wait within which a watch must be answered. */
 export const watchGraceMs = 350;
 /** Time a start or stop order may take to be answered. */
-export const orderTimeoutMs = 200;
+export const orderTimeoutMs = 80;
 /** A start that reaches the worker later than this is refused by the worker. */
-export const startValidityMs = 250;
+export const startValidityMs = 100;
 /** Starts without an answer in a row after which a worker gets no task for a while. */
 export const unansweredToPause = 2;
 export const unansweredPauseMs = 1_000;
 /** Time after the validity of an unanswered start at which the worker is looked at. */
-export const lookAfterValidityMs = 30;
+export const lookAfterValidityMs = 12;
 /** Ends that finish within this time are taken note of by one look. */
 export const endGatherMs = 2;
 export const firstRetryPauseMs = 100;
@@ -46,8 +46,8 @@
 /** Waiting tasks behind one that finds no room that may pass it in one look. */
 export const maximumPassedOver = 12;
 
-/** Share of its objective that a job may wait before it is refused for want of room. */
-export const patienceShare = 0.24;
+/** A task may take this many times its estimate, on a slow worker or by a low guess. */
+export const runTimeMargin = 1.3;
 /** Advice to callers that were refused for want of room. */
 export const refusalRetryMs = 1_000;
 /** Time a job may wait at an entry that knows no owner of the zone's workers. */
