--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -132,6 +132,11 @@
         return this.desk.openJobs;
     }
 
+    /** The entry that owns the zone's workers, as far as this one knows. */
+    get ownerId(): string | undefined {
+        return this.election.ownerId;
+    }
+
     findQueue(host: string, path: string): Queue | undefined {
         return this.queues.find(host, path);
     }
@@ -167,6 +172,8 @@
             getState: () => ({ claim: this.election.claim, fitness: this.getFitness() }),
             onChange: () => this.election.update(),
             onReply: (peerId, message) => this.noteReply(peerId, message),
+            getWorkers: () => this.workers.getAll(),
+            onWorkers: announcements => this.noteWorkers(announcements),
             onPeerLost: peerId => this.desk.noteOwnerLost(peerId),
             onSubmit: (home, message, reply) => {
                 this.takeFromPeer(message.request, home, reply);
@@ -207,8 +214,8 @@
                 this.pool?.submit(request, {
                     key: id,
                     answer: answer => this.desk.noteAnswer(id, request.id, answer),
-                    // Desk and pool are lost together.
-                    noteAway: () => undefined,
+                    // The desk outlives the pool when this entry hands ownership over.
+                    noteAway: () => this.desk.noteAway(id, request.id),
                 });
                 return this.pool !== undefined;
             },
--- /dev/null
+++ b/packages/anvilmux/tests/dispatchEntry.test.ts
@@ -0,0 +1,186 @@
+/** Entries and control over loopback links: an entry hands over its workers, and jobs that went to another zone. */
+
+import { DispatchEntry, newSystemEnvironment } from "@anvilmux/anvilmux";
+import { toAddress, toInstanceId, toJobId, toZoneId } from "@anvilmux/common";
+import type { InstanceId } from "@anvilmux/common";
+import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
+import type { JobAnswer, JobRequest, StartOrder, WorkerAnnouncement, WorkerDriver } from "@anvilmux/dispatch";
+import { ControlHub } from "@anvilmux/fleet";
+import { ChannelChecker } from "@anvilmux/links";
+import { judgeHighestVersion, parseManifest } from "@anvilmux/manifest";
+import type { ManifestAuthority } from "@anvilmux/manifest";
+import { Metrics, newSilentLogger } from "@anvilmux/telemetry";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+
+const manifestText = JSON.stringify({
+    format: 1,
+    version: 1,
+    queues: [{ name: "q", host: "h", pathPrefix: "/", service: "s", timeoutMs: 5_000 }],
+});
+
+const authority: ManifestAuthority = {
+    verify: text => ({ manifest: parseManifest(text), digest: text }),
+    read: text => ({ manifest: parseManifest(text), digest: text }),
+    judge: judgeHighestVersion,
+};
+
+const environment = newSystemEnvironment();
+const logger = newSilentLogger();
+const cleanups: (() => void)[] = [];
+
+afterEach(() => cleanups.splice(0).reverse().forEach(cleanup => cleanup()));
+
+const findFreePort = (): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+
+const waitFor = async (condition: () => boolean): Promise<void> => {
+    while (!condition()) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+};
+
+/** Workers that answer at once and run tasks until they are told to stop. */
+class EndlessWorkers {
+    readonly starts: StartOrder[] = [];
+    readonly running = new Map<string, StartOrder>();
+
+    connect(): WorkerDriver {
+        return {
+            start: async order => {
+                this.starts.push(order);
+                this.running.set(order.task, order);
+                return { kind: "started", clock: performance.now() };
+            },
+            stop: async task => {
+                this.running.delete(task);
+                return true;
+            },
+            watch: async order => {
+                await new Promise(resolve => setTimeout(resolve, Math.min(order.waitMs, 20)));
+                const running = [...this.running.values()].map(({ task, run }) => ({ task, run, percent: 0 }));
+                return { kind: "listed", list: { clock: performance.now(), incarnation: 1, running, ends: [] } };
+            },
+            close: () => undefined,
+        };
+    }
+}
+
+const newWorker = (zone: string, millicores: number): WorkerAnnouncement => ({
+    id: toWorkerId(`worker-${zone}`),
+    incarnation: 1,
+    sequence: 1,
+    service: "s",
+    address: toAddress("127.0.0.1:1"),
+    zone: toZoneId(zone),
+    state: "ready",
+    room: { millicores, memoryMebibytes: 1_000, accelerators: 0 },
+});
+
+const startControl = async (): Promise<{ readonly hub: ControlHub; readonly port: number; }> => {
+    const port = await findFreePort();
+    const checker = new ChannelChecker(environment.clock, environment.timers, () => undefined);
+    const hub = new ControlHub({
+        host: "127.0.0.1",
+        port,
+        checker,
+        environment: { ...environment, logger },
+        metrics: new Metrics(),
+        configuration: { getIndex: () => 1, getEnvelope: () => manifestText },
+        getControlAddresses: () => [],
+    });
+    await hub.start();
+    cleanups.push(() => hub.stop(), () => checker.stop());
+    return { hub, port };
+};
+
+const startEntry = async (
+    id: InstanceId,
+    zone: string,
+    controlPort: number,
+    workers: EndlessWorkers,
+): Promise<DispatchEntry> => {
+    const entry = new DispatchEntry({
+        instanceId: id,
+        zone: toZoneId(zone),
+        host: "127.0.0.1",
+        linkPort: await findFreePort(),
+        controlSeeds: [toAddress(`127.0.0.1:${controlPort}`)],
+        authority,
+        connectWorker: () => workers.connect(),
+        environment,
+        logger,
+        metrics: new Metrics(),
+    });
+    await entry.start();
+    cleanups.push(() => entry.stop());
+    await waitFor(() => entry.isReady);
+    return entry;
+};
+
+const newJob = (id: string, millicores: number): JobRequest => ({
+    id: toJobId(id),
+    queue: "q",
+    service: "s",
+    payload: "",
+    tasks: [{
+        name: toTaskName(`${id}.0`),
+        millicores,
+        memoryMebibytes: 1,
+        accelerators: 0,
+        estimateMs: 100,
+    }],
+    priority: 0,
+    attempts: 1,
+    objectiveMs: 20_000,
+    remainingMs: 20_000,
+    resubmitted: false,
+    mayRunElsewhere: false,
+    spilled: false,
+});
+
+test("an entry that leaves hands its zone's workers over, and nothing is started twice", async () => {
+    const { hub, port } = await startControl();
+    hub.noteWorker(newWorker("z1", 1_000));
+    const workers = new EndlessWorkers();
+    const first = await startEntry(toInstanceId("a"), "z1", port, workers);
+    const second = await startEntry(toInstanceId("b"), "z1", port, workers);
+    await waitFor(() => first.ownerId === "a" && second.ownerId === "a");
+    const answers: JobAnswer[] = [];
+    second.accept(newJob("job1", 600), answer => answers.push(answer));
+    await waitFor(() => workers.starts.length === 1);
+    first.leave();
+    await waitFor(() => second.ownerId === "b" && first.ownerId === "b");
+    await new Promise(resolve => setTimeout(resolve, 300));
+    expect(workers.starts).toHaveLength(1);
+    expect(workers.running.size).toBe(1);
+    expect(answers).toEqual([]);
+});
+
+test("a leaving owner's own job with tasks in another zone is not started again at once", async () => {
+    const { hub, port } = await startControl();
+    hub.noteWorker(newWorker("z1", 1_000));
+    hub.noteWorker(newWorker("z2", 1_000));
+    const here = new EndlessWorkers();
+    const there = new EndlessWorkers();
+    const first = await startEntry(toInstanceId("a"), "z1", port, here);
+    const second = await startEntry(toInstanceId("b"), "z1", port, here);
+    const other = await startEntry(toInstanceId("c"), "z2", port, there);
+    await waitFor(() => first.ownerId === "a" && second.ownerId === "a" && other.ownerId === "c");
+    const abandonFirst = first.accept(newJob("job1", 900), () => undefined);
+    await waitFor(() => here.starts.length === 1);
+    first.accept(newJob("job2", 900), () => undefined);
+    await waitFor(() => there.starts.length === 1);
+    abandonFirst();
+    await waitFor(() => here.running.size === 0);
+    first.leave();
+    await waitFor(() => second.ownerId === "b");
+    await new Promise(resolve => setTimeout(resolve, 500));
+    expect(here.starts.filter(start => start.task === "job2.0")).toEqual([]);
+});
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -1,7 +1,7 @@
 /** The connections among the entries of a zone: each calls every other one and tells it its state. */
 
 import type { Clock, Milliseconds } from "@anvilmux/common";
-import type { Candidate, Fitness, FreeRoom } from "@anvilmux/dispatch";
+import type { Candidate, Fitness, FreeRoom, WorkerAnnouncement } from "@anvilmux/dispatch";
 import { Link, LinkServer } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment, Session } from "@anvilmux/links";
 import type { EntryMember, FromPeer, ToPeer } from "./messages";
@@ -15,6 +15,8 @@
     readonly getState: () => { readonly claim: number; readonly fitness: Fitness; };
     /** Something about the other entries changed. */
     readonly onChange: () => void;
+    readonly getWorkers: () => readonly WorkerAnnouncement[];
+    readonly onWorkers: (workers: readonly WorkerAnnouncement[]) => void;
     readonly onReply: (peerId: string, message: FromPeer) => void;
     /** The connection to a peer was lost: what was sent there may not have arrived. */
     readonly onPeerLost: (peerId: string) => void;
@@ -118,6 +120,7 @@
             checker,
             onOpen: () => {
                 environment.logger.info("entry connected", { peer: member.id });
+                link.send({ type: "workers", workers: this.options.getWorkers() });
                 link.send(this.getStateMessage());
                 this.options.onChange();
             },
@@ -149,6 +152,9 @@
                         this.heard.set(message.id, { ...message, connection });
                         this.options.onChange();
                         return;
+                    case "workers":
+                        this.options.onWorkers(message.workers);
+                        return;
                     case "zone-owner":
                         home = `${message.zone}/${message.id}#${connection}`;
                         this.zoneOwners.add(send);
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -43,6 +43,8 @@
         readonly claim: number;
         readonly fitness: Fitness;
     }
+    /** What the entry knows of the zone's workers, for an entry that has just started. */
+    | { readonly type: "workers"; readonly workers: readonly WorkerAnnouncement[]; }
     /** Opens a connection between the owners of two zones. */
     | { readonly type: "zone-owner"; readonly id: string; readonly zone: string; }
     | { readonly type: "submit"; readonly request: JobRequest; }
