A new owner does not give a job up before it has seen what runs

Change: a job from a former owner is given up only once its runs can no longer be found. Test failed before; the test of truthful refusals waits 2.5 s instead of 1 s, as the answer now comes when the uncertainty ends.

--- a/packages/dispatch/src/JobTable.ts
+++ b/packages/dispatch/src/JobTable.ts
@@ -14,10 +14,6 @@
     private readonly tasks = new Map<TaskName, JobTask>();
     private queue: PoolJob[] = [];
 
-    get size(): number {
-        return this.jobs.size;
-    }
-
     get waitingCount(): number {
         return this.queue.length;
     }
--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -46,10 +46,6 @@
         this.unsubscribe = options.timers.every(poolTickMs, () => this.tick());
     }
 
-    get openJobs(): number {
-        return this.jobs.size;
-    }
-
     get waitingJobs(): number {
         return this.jobs.waitingCount;
     }
@@ -377,7 +373,7 @@
         const now = this.options.clock.now();
         for (const job of this.jobs.getAll()) {
             const isOverdue = now > job.receivedAt + job.request.remainingMs;
-            if (isOverdue || (job.started === 0 && now > job.startBy)) {
+            if (isOverdue || (now > job.startBy && this.canNoLongerStart(job))) {
                 this.giveUp(job);
             }
         }
@@ -386,6 +382,11 @@
         }
     }
 
+    /** False while a run that a former owner started may yet be found and taken over. */
+    private canNoLongerStart(job: PoolJob): boolean {
+        return job.started === 0 && (job.request.mayRunElsewhere || !this.isUncertain(job));
+    }
+
     private giveUp(job: PoolJob): void {
         const { resubmitted, mayRunElsewhere } = job.request;
         const neverRan = job.started === 0 && !resubmitted && !mayRunElsewhere;
--- a/packages/dispatch/tests/Pool.test.ts
+++ b/packages/dispatch/tests/Pool.test.ts
@@ -191,6 +191,21 @@
         expect(world.begun).toHaveLength(3);
     });
 
+    test("the next owner adopts also what should have started long ago", async () => {
+        const world = new PoolWorld(2);
+        const first = world.newPool(1);
+        await world.time.advance(20);
+        world.submit(first, world.newJob("a", { tasks: 2, runMs: 900, objectiveMs: 1_000 }));
+        await world.time.advance(400);
+        first.stop();
+        world.workers.forEach(worker => worker.listTravelMs = 60);
+        const second = world.newPool(2);
+        world.submit(second, world.newJob("a", { tasks: 2, runMs: 900, objectiveMs: 600, resubmitted: true }));
+        await world.time.advance(1_000);
+        expect(world.answers.get("a")).toEqual({ kind: "completed" });
+        expect(world.begun).toHaveLength(2);
+    });
+
     test("an owner that was replaced cannot start anything", async () => {
         const world = new PoolWorld(1);
         const first = world.newPool(1);
@@ -242,7 +257,7 @@
         first.stop();
         const second = world.newPool(2);
         world.submit(second, world.newJob("a", { runMs: 3_000, objectiveMs: 3_200, resubmitted: true }));
-        await world.time.advance(1_000);
+        await world.time.advance(2_500);
         expect(world.answers.get("a")?.kind).toBe("unknown");
     });
 });
