The line on a job that was given up tells the room that was seen

Cause: a refusal for want of room could not be explained from its id: the line named neither free processors nor workers out of use nor what other zones had reported. Change: 'job given up' carries them; the pool's lines stand in a module of their own. No decision changes.

--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -3,6 +3,7 @@
 import type { Clock, Timers } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import { maximumToldWorkers } from "./constants";
+import type { SeenRoom } from "./poolLog";
 import type { Run, RunOutcome } from "./RunTable";
 import { fits } from "./types";
 import type { ConnectWorker, FreeRoom, JobRequest, Room, WorkerAnnouncement, WorkerId } from "./types";
@@ -76,6 +77,20 @@
         ]));
     }
 
+    /** The room there is for a service, for the log. */
+    describeRoom(service: string): Omit<SeenRoom, "waitingJobs" | "otherZones"> {
+        const sessions = [...this.workers.values()]
+            .map(worker => worker.session)
+            .filter(session => session.announcement.service === service);
+        const free = sessions.filter(session => session.isUsable).map(session => session.free.millicores);
+        return {
+            workers: sessions.length,
+            usableWorkers: free.length,
+            freeMillicores: free.reduce((sum, millicores) => sum + millicores, 0),
+            largestGapMillicores: Math.max(0, ...free),
+        };
+    }
+
     choose(service: string, needed: Room, avoided: readonly WorkerSession[]): WorkerSession | undefined {
         return this.options.choose({
             sessions: [...this.workers.values()].map(worker => worker.session),
--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -11,6 +11,7 @@
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
 import { getUncertaintyEnd, newPoolJob, placeTask } from "./PoolJob";
 import type { PoolJob, PoolTask } from "./PoolJob";
+import { logGivenUp, logPlacement, logRunEnd } from "./poolLog";
 import { getFirstRun, runsSkippedAfterOld } from "./runNumbers";
 import type { Run, RunOutcome } from "./RunTable";
 import { hasSameTasks } from "./spill";
@@ -229,15 +230,7 @@
         const run = Math.max(task.lastRun + 1, getFirstRun(this.options.clock.wallNow()));
         placeTask(job, task, session, run, this.options.clock.now());
         this.liveRuns.set(request.name, session);
-        this.options.metrics.observe("anvilmux_placement_wait_ms", {}, task.placedAt - job.receivedAt);
-        this.options.logger.info("task placed", {
-            job: job.request.id,
-            task: request.name,
-            run,
-            worker: session.id,
-            freeMillicores: session.free.millicores,
-            waitedMs: Math.round(task.placedAt - job.receivedAt),
-        });
+        logPlacement(this.options, job, task, session);
         session.start(request.name, run, job.request.payload, request);
         return true;
     }
@@ -270,19 +263,11 @@
     }
 
     private noteTaskEnd(job: PoolJob, task: PoolTask, session: WorkerSession, run: Run, outcome: RunOutcome): void {
-        const { metrics, logger, clock } = this.options;
+        const { metrics, clock } = this.options;
         const ranMs = clock.now() - task.placedAt;
         metrics.count("anvilmux_run_ends_total", { outcome });
         if (outcome !== "done") {
-            logger.info("run ended without success", {
-                job: job.request.id,
-                task: run.task,
-                run: run.run,
-                worker: session.id,
-                outcome,
-                ranMs: Math.round(ranMs),
-                failures: task.failures + (outcome === "failed" ? 1 : 0),
-            });
+            logRunEnd(this.options, job, task, run, outcome);
         }
         task.session = undefined;
         switch (outcome) {
@@ -390,11 +375,13 @@
     private giveUp(job: PoolJob): void {
         const { resubmitted, mayRunElsewhere } = job.request;
         const neverRan = job.started === 0 && !resubmitted && !mayRunElsewhere;
-        this.finish(
-            job,
-            neverRan
-                ? { kind: "refused", reason: "no room in time", retryAfterMs: refusalRetryMs }
-                : { kind: "unknown", reason: "not ended in time, and tasks of it may have run" },
-        );
+        const refused: JobAnswer = { kind: "refused", reason: "no room in time", retryAfterMs: refusalRetryMs };
+        const unknown: JobAnswer = { kind: "unknown", reason: "not ended in time, and tasks of it may have run" };
+        logGivenUp(this.options, job, {
+            waitingJobs: this.jobs.waitingCount,
+            ...this.workers.describeRoom(job.request.service),
+            otherZones: this.spiller.describeRoom(job.request.service),
+        });
+        this.finish(job, neverRan ? refused : unknown);
     }
 }
--- a/packages/dispatch/src/TaskSpiller.ts
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -31,6 +31,13 @@
         }
     }
 
+    /** What other zones reported last, for the log. */
+    describeRoom(service: string): string {
+        return this.options.getRemotePools()
+            .map(remote => `${remote.zone}:${(remote.free[service] ?? []).reduce((sum, free) => sum + free, 0)}`)
+            .join(",");
+    }
+
     /** Ends what other zones still do for the job. */
     cancel(job: PoolJob): void {
         for (const remote of this.options.getRemotePools()) {
