--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -3,7 +3,7 @@
  * zone's workers, and control tells the configuration, the other entries and the workers.
  */
 
-import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
+import type { Address, InstanceId, Unsubscribe, ZoneId } from "@anvilmux/common";
 import { hashText } from "@anvilmux/common";
 import { ConfigurationHolder } from "@anvilmux/control";
 import { chooseTightest, JobDesk, Pool, QueueTable, roomReportPeriodMs, ZoneElection } from "@anvilmux/dispatch";
@@ -309,7 +309,3 @@
         }
     }
 }
-
-/** The time within which a job of a queue should be answered, from its longest task. */
-export const getObjective = (queue: Queue, longestEstimate: Milliseconds): Milliseconds =>
-    queue.stretch * longestEstimate + queue.targetLatencyMs;
--- a/packages/dispatch/src/QueueTable.ts
+++ b/packages/dispatch/src/QueueTable.ts
@@ -1,5 +1,6 @@
 /** Finds the queue of a job by the host and path under which it arrives. */
 
+import type { Milliseconds } from "@anvilmux/common";
 import type { Queue } from "@anvilmux/manifest";
 
 export class QueueTable {
@@ -19,3 +20,7 @@
         return this.byHost.get(host)?.find(queue => path.startsWith(queue.pathPrefix));
     }
 }
+
+/** The time within which a job of a queue should be answered, by the estimate of its longest task. */
+export const getObjective = (queue: Queue, longestEstimate: Milliseconds): Milliseconds =>
+    queue.stretch * longestEstimate + queue.targetLatencyMs;
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -19,7 +19,6 @@
     readonly startDeadline: Milliseconds;
     state: "ordered" | "running" | "uncertain";
     stopOrderedAt: Milliseconds | undefined;
-    percent: number;
 }
 
 type NewRun = Pick<Run, "task" | "run" | "needs" | "orderedAt" | "startDeadline">;
@@ -29,7 +28,6 @@
     confirmedAt: 0,
     state: "ordered",
     stopOrderedAt: undefined,
-    percent: 0,
 });
 
 export class RunTable {
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -301,7 +301,6 @@
             else if (record.run === item.run) {
                 record.state = "running";
                 record.confirmedAt = this.options.clock.now();
-                record.percent = item.percent;
             }
         }
         if (list.ends.length < maximumListedEnds) {
