--- /dev/null
+++ b/packages/fleet/tests/WorkerDirectory.test.ts
@@ -0,0 +1,66 @@
+/** The newest announcement of each worker counts, whatever arrives late. */
+
+import { toAddress, toZoneId } from "@anvilmux/common";
+import { toWorkerId } from "@anvilmux/dispatch";
+import type { WorkerAnnouncement } from "@anvilmux/dispatch";
+import { WorkerDirectory } from "@anvilmux/fleet";
+import fc from "fast-check";
+
+const newAnnouncement = (change: Partial<WorkerAnnouncement> = {}): WorkerAnnouncement => ({
+    id: toWorkerId("w1"),
+    incarnation: 10,
+    sequence: 1,
+    service: "s",
+    address: toAddress("127.0.0.1:1"),
+    zone: toZoneId("z"),
+    state: "ready",
+    room: { millicores: 1, memoryMebibytes: 1, accelerators: 0 },
+    ...change,
+});
+
+describe("worker directory", () => {
+    test("a repeated announcement is no news, another state is", () => {
+        const directory = new WorkerDirectory();
+        expect(directory.note(newAnnouncement())).toBe(true);
+        expect(directory.note(newAnnouncement({ sequence: 2 }))).toBe(false);
+        expect(directory.note(newAnnouncement({ sequence: 3, state: "draining" }))).toBe(true);
+    });
+
+    test("a late announcement changes nothing", () => {
+        const directory = new WorkerDirectory();
+        directory.note(newAnnouncement({ sequence: 3, state: "draining" }));
+        expect(directory.note(newAnnouncement({ sequence: 2 }))).toBe(false);
+        expect(directory.getAll()[0]?.state).toBe("draining");
+    });
+
+    test("a worker that left does not come back by a late announcement, but as a new life", () => {
+        const directory = new WorkerDirectory();
+        directory.note(newAnnouncement({ sequence: 5 }));
+        expect(directory.noteLeft(toWorkerId("w1"))?.state).toBe("left");
+        expect(directory.noteLeft(toWorkerId("w1"))).toBeUndefined();
+        expect(directory.note(newAnnouncement({ sequence: 4 }))).toBe(false);
+        expect(directory.note(newAnnouncement({ incarnation: 11, sequence: 1 }))).toBe(true);
+        expect(directory.getAll()[0]?.state).toBe("ready");
+    });
+
+    test("in whatever order announcements arrive, the newest stands", () => {
+        const announcement = fc.record({
+            incarnation: fc.integer({ min: 1, max: 3 }),
+            sequence: fc.integer({ min: 1, max: 5 }),
+        });
+        fc.assert(
+            fc.property(fc.array(announcement, { minLength: 1 }), changes => {
+                const directory = new WorkerDirectory();
+                changes.forEach(change => directory.note(newAnnouncement(change)));
+                const newest = changes.reduce((best, change) =>
+                    change.incarnation > best.incarnation
+                        || (change.incarnation === best.incarnation && change.sequence > best.sequence)
+                        ? change
+                        : best
+                );
+                expect(directory.getAll()[0]).toMatchObject(newest);
+            }),
+            { seed: 7 },
+        );
+    });
+});
