A frozen control leader costs an operator 0.6 s, not all tries

The log shows it reaching core-cankaya-1, which led since 3.7 s, and ending there after 950 ms as unknown, twice: the client in the same process still asked the leader it had learned earlier, frozen since 2.5 s, and waited 1.5 s for it. Ruled out: lost acknowledgements alone (the first two tries were never acknowledged), slow commits (22 ms). Change: the client asks the leader that the replica of its process knows; a call takes 0.6 s at most, and an address that did not answer is not taken for the leader until another has answered. Tests of both.

--- a/packages/anvilmux/src/services/control.ts
+++ b/packages/anvilmux/src/services/control.ts
@@ -50,6 +50,7 @@
             start: () =>
                 new ControlClient({
                     getControlAddresses: () => kernel.get(zoneViewToken).getControlAddresses(),
+                    getKnownLeader: () => getKnownLeader(kernel),
                     connect: address => kernel.get(networkToken).consensus(address),
                     clock: kernel.get(clockToken),
                     timers: kernel.get(timersToken),
@@ -137,3 +138,10 @@
     }
     return settings["control-peers"].length > 0 ? settings["control-peers"] : [selfAddress];
 };
+
+/** The leader as the replica of this instance knows it. */
+const getKnownLeader = (kernel: Kernel): Address | undefined => {
+    const replica = kernel.find(controlToken)?.replica;
+    const leader = replica?.group.members.find(member => member.memberId === replica.leader);
+    return leader && toAddress(leader.address);
+};
--- a/packages/control/src/ControlClient.ts
+++ b/packages/control/src/ControlClient.ts
@@ -20,6 +20,8 @@
 export interface ControlClientOptions {
     /** Addresses of control instances, as settings and membership tell them. */
     readonly getControlAddresses: () => readonly Address[];
+    /** The leader as a replica in this process knows it; undefined without a replica or a known leader. */
+    readonly getKnownLeader?: () => Address | undefined;
     readonly connect: (address: Address) => ConsensusClient;
     readonly clock: Clock;
     readonly timers: Timers;
@@ -41,11 +43,14 @@
 }
 
 const retryPauseMs = 60;
-const callTimeoutMs = 1_500;
+/** A leader that does not answer for this long is looked for again, well within an operator's patience. */
+const callTimeoutMs = 600;
 const maximumCommandsPerMessage = 256;
 
 export class ControlClient {
     private leader: Address | undefined;
+    /** The address that did not answer last; it is not taken at its word as leader until another answered. */
+    private unanswering: Address | undefined;
     private waiting: Waiting[] = [];
     private flushPlanned = false;
     private nextCandidate = 0;
@@ -136,6 +141,7 @@
                     const { reply, notLeader, leaderHint } = await call(address);
                     if (!notLeader) {
                         this.leader = address;
+                        this.unanswering = undefined;
                         return reply;
                     }
                     reason = `${address} does not lead`;
@@ -147,6 +153,7 @@
                 catch (error) {
                     reason = getErrorMessage(error);
                     this.leader = undefined;
+                    this.unanswering = address;
                 }
             }
             await sleep(this.options.timers, retryPauseMs);
@@ -155,8 +162,9 @@
     }
 
     private pickAddress(): Address | undefined {
-        if (this.leader) {
-            return this.leader;
+        const known = this.options.getKnownLeader?.() ?? this.leader;
+        if (known && known !== this.unanswering) {
+            return known;
         }
         const addresses = this.options.getControlAddresses();
         return addresses[this.nextCandidate++ % addresses.length];
