A watch without an answer hides ends for 0.35 s instead of 0.8 s

Change: watches wait 250 ms while runs are known there, 450 ms otherwise, with 100 ms of grace. A test drops one watch and fails with the old times.

--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -6,8 +6,10 @@
 import { sleep } from "@anvilmux/common";
 import type { Milliseconds } from "@anvilmux/common";
 import {
+    busyWatchWaitMs,
     endGatherMs,
     firstRetryPauseMs,
+    idleWatchWaitMs,
     longestRetryPauseMs,
     lookAfterValidityMs,
     maximumListedEnds,
@@ -15,7 +17,6 @@
     startValidityMs,
     stopRepeatMs,
     watchGraceMs,
-    watchWaitMs,
     workerLeaseMs,
 } from "./constants";
 import { newRun, RunTable } from "./RunTable";
@@ -214,7 +215,8 @@
         const { clock, driver, getFence, metrics } = this.options;
         const sentAt = clock.now();
         const isSteady = this.reachable && this.time.isKnown;
-        const waitMs = isSteady ? watchWaitMs : 0;
+        const longestWaitMs = this.runs.size > 0 ? busyWatchWaitMs : idleWatchWaitMs;
+        const waitMs = isSteady ? longestWaitMs : 0;
         const fence = getFence();
         if (isSteady) {
             this.time.noteGrant(sentAt, workerLeaseMs);
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -6,10 +6,11 @@
 export const workerClockDrift = 0.021;
 /** Slack added to a lease before it counts as over. */
 export const leaseMarginMs = 30;
-/** Time a watch of a worker may wait for the end of a run. */
-export const watchWaitMs = 450;
+/** Time a watch of a worker may wait for the end of a run, while none runs and while some do. */
+export const idleWatchWaitMs = 450;
+export const busyWatchWaitMs = 250;
 /** Time after the wait within which a watch must be answered. */
-export const watchGraceMs = 350;
+export const watchGraceMs = 100;
 /** Time a start or stop order may take to be answered. */
 export const orderTimeoutMs = 80;
 /** A start that reaches the worker later than this is refused by the worker. */
--- a/packages/dispatch/tests/Pool.test.ts
+++ b/packages/dispatch/tests/Pool.test.ts
@@ -24,6 +24,23 @@
         expect(world.workers[0]!.unseenEnds).toBe(0);
     });
 
+    test("a watch without an answer hides an end for less than 0.4 s while the worker is busy", async () => {
+        const world = new PoolWorld(1);
+        const pool = world.newPool(1);
+        const worker = world.workers[0]!;
+        await world.time.advance(20);
+        world.submit(pool, world.newJob("long", { runMs: 4_000, objectiveMs: 9_000 }));
+        await world.time.advance(1_000);
+        worker.unansweredWatches = 1;
+        while (worker.unansweredWatches > 0) {
+            await world.time.advance(5);
+        }
+        world.submit(pool, world.newJob("short", { runMs: 60 }));
+        await world.time.advance(60 + 400);
+        expect(world.answers.get("short")).toEqual({ kind: "completed" });
+        expect(world.doubleRuns).toEqual([]);
+    });
+
     test("keeps the lease of a run that takes longer than the longest lease", async () => {
         const world = new PoolWorld(1);
         const pool = world.newPool(1);
--- a/stand-ins/src/LeasedWorker.ts
+++ b/stand-ins/src/LeasedWorker.ts
@@ -60,6 +60,8 @@
     listTravelMs: Milliseconds = 0;
     /** Time that start orders travel; watches on other connections overtake them. */
     startTravelMs: Milliseconds = 1;
+    /** So many waiting watches are carried out and go unanswered. */
+    unansweredWatches = 0;
     failsAll = false;
     hangs = false;
     /** Rate of the worker's clock. */
@@ -196,6 +198,11 @@
         if (order.leaseUntil !== undefined) {
             this.extendLease(order.leaseUntil);
         }
+        if (order.waitMs > 0 && this.unansweredWatches > 0) {
+            this.unansweredWatches -= 1;
+            await this.wait(order.timeoutMs);
+            return { kind: "unanswered", reason: "no answer in time" };
+        }
         if (this.ends.length === 0 && order.waitMs > 0) {
             await Promise.race([this.wait(order.waitMs), new Promise<void>(resolve => this.waiters.push(resolve))]);
         }
