A task that stands still is stopped and runs on another worker

Ruled out: a limit on run time alone: tasks take 0.2 to 8 times their estimate (3,369 runs; median 1.18, 99th 3.55), so that a limit is either late or stops sound runs. Change: workers list the share of work done. A run without progress for the time in which 15 % were due, by its own pace or by three times its estimate, is stopped; its task goes elsewhere without counting as an attempt, and the worker gets no task for 1.5 s, then twice as long. Reading of lists is a module of its own (ListReader). Tests: three on the pool that never end without the change, six on slow and still runs. A stand-in of the entry test listed 0 % for ever, which workers at work do not; it now shows progress.

--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -1,6 +1,6 @@
 /** The workers that an owner holds: a session and a record for each, and the choice among them. */
 
-import type { Clock, Timers } from "@anvilmux/common";
+import type { Clock, Milliseconds, Timers } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import { maximumToldWorkers } from "./constants";
 import type { SeenRoom } from "./poolLog";
@@ -23,6 +23,7 @@
     readonly metrics: Metrics;
     readonly onEnd: (session: WorkerSession, run: Run, outcome: RunOutcome) => void;
     readonly onFound: (session: WorkerSession, run: Run) => void;
+    readonly onStandstill: (session: WorkerSession, run: Run, percent: number) => void;
     /** Called when a worker became usable or stopped being so. */
     readonly onChange: () => void;
 }
@@ -108,11 +109,12 @@
 
     /** Notes a run that failed; a worker that fails too often gets no task for a while. */
     noteFailed(session: WorkerSession): void {
-        const pause = this.workers.get(session.id)?.record.noteFailed() ?? 0;
-        if (pause > 0) {
-            this.options.logger.warn("worker paused after failures", { worker: session.id, pauseMs: pause });
-            session.pause(pause);
-        }
+        this.pause(session, this.workers.get(session.id)?.record.noteFailed() ?? 0);
+    }
+
+    /** Notes a run that stood still; its worker gets no task for a while. */
+    noteStandstill(session: WorkerSession): void {
+        this.pause(session, this.workers.get(session.id)?.record.noteStandstill() ?? 0);
     }
 
     close(): void {
@@ -120,6 +122,13 @@
         this.workers.clear();
     }
 
+    private pause(session: WorkerSession, pauseMs: Milliseconds): void {
+        if (pauseMs > 0) {
+            this.options.logger.warn("worker paused after failures", { worker: session.id, pauseMs });
+            session.pause(pauseMs);
+        }
+    }
+
     private add(announcement: WorkerAnnouncement): void {
         const session: WorkerSession = new WorkerSession({
             ...this.options,
@@ -127,6 +136,7 @@
             driver: this.options.connect(announcement),
             onEnd: (run, outcome) => this.options.onEnd(session, run, outcome),
             onFound: run => this.options.onFound(session, run),
+            onStandstill: (run, percent) => this.options.onStandstill(session, run, percent),
             onGone: () => this.remove(session),
         });
         this.workers.set(announcement.id, { session, record: new WorkerRecord(this.options.clock) });
--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -11,7 +11,7 @@
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
 import { getUncertaintyEnd, newPoolJob, placeTask } from "./PoolJob";
 import type { PoolJob, PoolTask } from "./PoolJob";
-import { logGivenUp, logPlacement, logRunEnd } from "./poolLog";
+import { logGivenUp, logPlacement, logRunEnd, logStandstill } from "./poolLog";
 import { getFirstRun, runsSkippedAfterOld } from "./runNumbers";
 import type { Run, RunOutcome } from "./RunTable";
 import { hasSameTasks } from "./spill";
@@ -20,7 +20,9 @@
 import type { FreeRoom, JobAnswer, JobHome, JobRequest, TaskName, WorkerAnnouncement } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
-export type PoolOptions = Omit<OwnedWorkersOptions, "onEnd" | "onFound" | "onChange"> & TaskSpillerOptions;
+export type PoolOptions =
+    & Omit<OwnedWorkersOptions, "onEnd" | "onFound" | "onStandstill" | "onChange">
+    & TaskSpillerOptions;
 
 export class Pool {
     private readonly workers: OwnedWorkers;
@@ -42,6 +44,7 @@
             ...options,
             onEnd: (session, run, outcome) => this.noteEnd(session, run, outcome),
             onFound: (session, run) => this.noteFound(session, run),
+            onStandstill: (session, run, percent) => this.noteStandstill(session, run, percent),
             onChange: () => this.planServe(),
         });
         this.unsubscribe = options.timers.every(poolTickMs, () => this.tick());
@@ -155,7 +158,7 @@
         if (!session || !run || run.stopOrderedAt !== undefined || task.state !== "waiting") {
             return;
         }
-        session.setNeeds(run, task.request);
+        session.setRequest(run, task.request);
         placeTask(job, task, session, run.run, run.orderedAt);
         this.options.logger.info("run adopted", { job: job.request.id, task: run.task, run: run.run });
     }
@@ -231,7 +234,7 @@
         placeTask(job, task, session, run, this.options.clock.now());
         this.liveRuns.set(request.name, session);
         logPlacement(this.options, job, task, session);
-        session.start(request.name, run, job.request.payload, request);
+        session.start(request, run, job.request.payload);
         return true;
     }
 
@@ -251,6 +254,13 @@
         });
     }
 
+    /** Stops a run that makes no progress, so that its task can run on another worker. */
+    private noteStandstill(session: WorkerSession, run: Run, percent: number): void {
+        logStandstill(this.options, session, run, percent);
+        this.workers.noteStandstill(session);
+        session.stop(run.task);
+    }
+
     private noteEnd(session: WorkerSession, run: Run, outcome: RunOutcome): void {
         if (this.liveRuns.get(run.task) === session) {
             this.liveRuns.delete(run.task);
@@ -281,6 +291,7 @@
             case "invalid":
                 this.finish(job, { kind: "failed", reason: `the worker cannot read task ${run.task}` });
                 return;
+            case "stopped":
             case "never-started":
                 task.avoided.push(session);
                 this.waitAgain(job, task);
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -1,8 +1,9 @@
 /** The runs that are, or may be, alive on one worker, and the room they take. */
 
 import type { Milliseconds } from "@anvilmux/common";
+import { RunProgress } from "./RunProgress";
 import { addRoom, subtractRoom } from "./types";
-import type { Room, RunEnd, TaskName, WorkerList } from "./types";
+import type { Room, RunEnd, TaskName, TaskRequest, WorkerList } from "./types";
 
 /** How a run ended, as its owner knows it. `lost`: its lease is over or its worker began a new life. */
 export type RunOutcome = RunEnd | "lost" | "never-started" | "refused-old" | "refused" | "invalid";
@@ -11,7 +12,7 @@
     readonly task: TaskName;
     readonly run: number;
     /** Undefined for a run that an earlier owner started. */
-    needs: Room | undefined;
+    request: TaskRequest | undefined;
     readonly orderedAt: Milliseconds;
     /** On our clock: when the worker was last heard to run it. */
     confirmedAt: Milliseconds;
@@ -19,15 +20,17 @@
     readonly startDeadline: Milliseconds;
     state: "ordered" | "running" | "uncertain";
     stopOrderedAt: Milliseconds | undefined;
+    readonly progress: RunProgress;
 }
 
-type NewRun = Pick<Run, "task" | "run" | "needs" | "orderedAt" | "startDeadline">;
+type NewRun = Pick<Run, "task" | "run" | "request" | "orderedAt" | "startDeadline">;
 
 export const newRun = (given: NewRun): Run => ({
     ...given,
     confirmedAt: 0,
     state: "ordered",
     stopOrderedAt: undefined,
+    progress: new RunProgress(),
 });
 
 export class RunTable {
@@ -53,28 +56,28 @@
 
     /** True while runs of unknown size, started by an earlier owner, go on. */
     hasUnknownRuns(): boolean {
-        return this.getAll().some(run => !run.needs);
+        return this.getAll().some(run => !run.request);
     }
 
     add(run: Run): void {
         this.runs.set(run.task, run);
-        if (run.needs) {
-            this.usedRoom = addRoom(this.usedRoom, run.needs);
+        if (run.request) {
+            this.usedRoom = addRoom(this.usedRoom, run.request);
         }
     }
 
-    /** Counts the room of a run that an earlier owner started. */
-    setNeeds(run: Run, needs: Room): void {
-        if (!run.needs) {
-            run.needs = needs;
-            this.usedRoom = addRoom(this.usedRoom, needs);
+    /** Tells what a run that an earlier owner started is, and counts its room. */
+    setRequest(run: Run, request: TaskRequest): void {
+        if (!run.request) {
+            run.request = request;
+            this.usedRoom = addRoom(this.usedRoom, request);
         }
     }
 
     remove(run: Run): void {
         this.runs.delete(run.task);
-        if (run.needs) {
-            this.usedRoom = subtractRoom(this.usedRoom, run.needs);
+        if (run.request) {
+            this.usedRoom = subtractRoom(this.usedRoom, run.request);
         }
     }
 
--- a/packages/dispatch/src/WorkerRecord.ts
+++ b/packages/dispatch/src/WorkerRecord.ts
@@ -32,9 +32,16 @@
     /** Notes a run that failed; returns the pause that begins, or 0. */
     noteFailed(): Milliseconds {
         this.failuresInARow += 1;
-        if (this.failuresInARow < failuresToPause) {
-            return 0;
-        }
+        return this.failuresInARow < failuresToPause ? 0 : this.nextPause();
+    }
+
+    /** Notes a run that stood still, which a sound worker never does; returns the pause that begins. */
+    noteStandstill(): Milliseconds {
+        return this.nextPause();
+    }
+
+    /** Each pause in a row is twice as long. */
+    private nextPause(): Milliseconds {
         const pause = Math.min(longestPauseMs, firstPauseMs * 2 ** this.pauses);
         this.pauses += 1;
         // The first run after the pause decides alone.
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -12,17 +12,17 @@
     idleWatchWaitMs,
     longestRetryPauseMs,
     lookAfterValidityMs,
-    maximumListedEnds,
     orderTimeoutMs,
     startValidityMs,
     stopRepeatMs,
     watchGraceMs,
     workerLeaseMs,
 } from "./constants";
+import { ListReader } from "./ListReader";
 import { newRun, RunTable } from "./RunTable";
 import type { Run, RunOutcome } from "./RunTable";
 import { fits, subtractRoom } from "./types";
-import type { Room, RunEnd, StartAnswer, TaskName, WorkerAnnouncement, WorkerId, WorkerList } from "./types";
+import type { Room, StartAnswer, TaskName, TaskRequest, WorkerAnnouncement, WorkerId, WorkerList } from "./types";
 import { WorkerPause } from "./WorkerPause";
 import type { WorkerSessionOptions } from "./workerSessionOptions";
 import { WorkerTime } from "./WorkerTime";
@@ -30,21 +30,25 @@
 export class WorkerSession {
     private announced: WorkerAnnouncement;
     private readonly runs = new RunTable();
-    private lastSeen = 0;
+    private readonly lists: ListReader;
     private readonly time: WorkerTime;
     private reachable = false;
     private everListed = false;
     private closed = false;
     private failures = 0;
-    /** Clock of the newest list of this life of the worker. */
-    private lastListClock = 0;
     private readonly paused: WorkerPause;
-    private incarnation = 0;
 
     constructor(private readonly options: WorkerSessionOptions) {
         this.announced = options.announcement;
         this.time = new WorkerTime(options.clock);
         this.paused = new WorkerPause(options.clock);
+        this.lists = new ListReader({
+            ...options,
+            worker: this.id,
+            runs: this.runs,
+            time: this.time,
+            onEnd: (run, outcome) => this.end(run, outcome),
+        });
         void this.keepWatch();
     }
 
@@ -75,9 +79,9 @@
         return fits(this.free, needed);
     }
 
-    /** Counts the room of a run that an earlier owner started. */
-    setNeeds(run: Run, needs: Room): void {
-        this.runs.setNeeds(run, needs);
+    /** Tells what a run that an earlier owner started is, and counts its room. */
+    setRequest(run: Run, request: TaskRequest): void {
+        this.runs.setRequest(run, request);
     }
 
     update(announcement: WorkerAnnouncement): void {
@@ -90,9 +94,10 @@
     }
 
     /** Orders a start. The end of the run, also of one that never began, is reported by `onEnd`. */
-    start(task: TaskName, run: number, payload: string, needs: Room): void {
+    start(request: TaskRequest, run: number, payload: string): void {
+        const task = request.name;
         const startDeadline = this.time.now() + startValidityMs;
-        const record = newRun({ task, run, needs, orderedAt: this.options.clock.now(), startDeadline });
+        const record = newRun({ task, run, request, orderedAt: this.options.clock.now(), startDeadline });
         this.runs.add(record);
         this.time.noteGrant(record.orderedAt, startValidityMs);
         this.options.metrics.count("anvilmux_start_orders_total");
@@ -167,7 +172,7 @@
         this.options.metrics.count("anvilmux_worker_looks_total");
         const answer = await this.options.driver.watch({
             fence: this.options.getFence(),
-            lastSeen: this.lastSeen,
+            lastSeen: this.lists.lastSeen,
             leaseUntil: undefined,
             waitMs: 0,
             timeoutMs: orderTimeoutMs,
@@ -224,7 +229,7 @@
         metrics.count("anvilmux_worker_looks_total");
         const answer = await driver.watch({
             fence,
-            lastSeen: this.lastSeen,
+            lastSeen: this.lists.lastSeen,
             // While the worker does not answer, its lease must end at a known time.
             leaseUntil: isSteady ? this.time.now() + workerLeaseMs : undefined,
             waitMs,
@@ -249,22 +254,10 @@
     }
 
     private noteList(list: WorkerList, sentAt: Milliseconds): Milliseconds {
-        const isSameLife = list.incarnation === this.incarnation;
-        if (list.incarnation < this.incarnation || (isSameLife && list.clock < this.lastListClock)) {
-            // Overtaken by a newer list.
+        const news = this.lists.read(list, sentAt);
+        if (news === "overtaken") {
             return 0;
         }
-        this.lastListClock = list.clock;
-        this.time.noteClock(list.clock);
-        this.beginLife(list.incarnation);
-        const hadEnds = list.ends.some(end => end.number > this.lastSeen);
-        for (const end of list.ends) {
-            if (end.number > this.lastSeen) {
-                this.lastSeen = end.number;
-                this.noteEnd(end.task, end.run, end.how);
-            }
-        }
-        this.noteRunning(list, sentAt);
         const isNews = !this.reachable || !this.everListed;
         this.reachable = true;
         this.everListed = true;
@@ -273,70 +266,7 @@
             this.options.onChange();
         }
         this.repeatStops();
-        return hadEnds ? endGatherMs : 0;
-    }
-
-    /** A new life of the worker runs nothing of before and numbers its ends anew. */
-    private beginLife(incarnation: number): void {
-        const isOther = this.incarnation !== 0 && this.incarnation !== incarnation;
-        this.incarnation = incarnation;
-        if (isOther) {
-            this.options.logger.warn("worker began a new life", { worker: this.id, lostRuns: this.runs.size });
-            this.lastSeen = 0;
-            this.endAll("lost");
-        }
-    }
-
-    private noteEnd(task: TaskName, run: number, how: RunEnd): void {
-        const record = this.runs.get(task);
-        if (record?.run === run) {
-            this.end(record, how);
-        }
-    }
-
-    private noteRunning(list: WorkerList, sentAt: Milliseconds): void {
-        for (const item of list.running) {
-            const record = this.runs.get(item.task);
-            if (!record) {
-                this.find(item.task, item.run);
-            }
-            else if (record.run === item.run) {
-                record.state = "running";
-                record.confirmedAt = this.options.clock.now();
-            }
-        }
-        if (list.ends.length < maximumListedEnds) {
-            this.endMissing(list, sentAt);
-        }
-    }
-
-    private endMissing(list: WorkerList, sentAt: Milliseconds): void {
-        const sentClock = list.clock - (this.options.clock.now() - sentAt);
-        for (const run of this.runs.findMissing(list, sentAt, sentClock)) {
-            this.options.logger.info("run missing from the worker's list", {
-                worker: this.id,
-                task: run.task,
-                run: run.run,
-                state: run.state,
-                listAgeMs: Math.round(this.options.clock.now() - sentAt),
-                confirmedMs: Math.round(sentAt - run.confirmedAt),
-                listed: list.running.length,
-            });
-            this.end(run, run.state === "running" ? "lost" : "never-started");
-        }
-    }
-
-    private find(task: TaskName, run: number): void {
-        const record = newRun({
-            task,
-            run,
-            needs: undefined,
-            orderedAt: this.options.clock.now(),
-            startDeadline: 0,
-        });
-        record.state = "running";
-        this.runs.add(record);
-        this.options.onFound(record);
+        return news === "ends" ? endGatherMs : 0;
     }
 
     private noteSilence(reason: string): Milliseconds {
--- a/packages/dispatch/src/poolLog.ts
+++ b/packages/dispatch/src/poolLog.ts
@@ -58,6 +58,22 @@
         failures: task.failures + (outcome === "failed" ? 1 : 0),
     });
 
+export const logStandstill = (
+    { clock, metrics, logger }: PoolLog,
+    session: WorkerSession,
+    run: Run,
+    percent: number,
+): void => {
+    metrics.count("anvilmux_standstills_total");
+    logger.warn("run makes no progress and is stopped", {
+        task: run.task,
+        run: run.run,
+        worker: session.id,
+        percent,
+        ranMs: Math.round(clock.now() - run.orderedAt),
+    });
+};
+
 export const logGivenUp = ({ clock, logger }: PoolLog, job: PoolJob, seen: SeenRoom): void =>
     logger.info("job given up", {
         job: job.request.id,
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -97,6 +97,7 @@
     readonly clock: Milliseconds;
     /** The life of the worker that answered. */
     readonly incarnation: number;
+    /** `percent`: share of its work that the run has done. */
     readonly running: readonly { readonly task: TaskName; readonly run: number; readonly percent: number; }[];
     readonly ends: readonly {
         readonly number: number;
--- a/packages/dispatch/src/workerSessionOptions.ts
+++ b/packages/dispatch/src/workerSessionOptions.ts
@@ -16,6 +16,8 @@
     readonly onEnd: (run: Run, outcome: RunOutcome) => void;
     /** Called for a run that an earlier owner started. */
     readonly onFound: (run: Run) => void;
+    /** Called when a run makes no progress any more, again with each list until it is stopped. */
+    readonly onStandstill: (run: Run, percent: number) => void;
     /** Called when the worker was listed for the first time, became reachable, or lost runs. */
     readonly onChange: () => void;
     /** Called when the worker obeys a higher fencing token. */
--- a/packages/dispatch/tests/Pool.test.ts
+++ b/packages/dispatch/tests/Pool.test.ts
@@ -101,6 +101,34 @@
         expect(world.begun.filter(task => task === "b.0")).toHaveLength(2);
     });
 
+    test.each([0, 40])("a task that stands still after %i ms runs on another worker", async standstillAfterMs => {
+        const world = new PoolWorld(2);
+        const pool = world.newPool(1);
+        await world.time.advance(20);
+        world.workers[0]!.standstillAfterMs = standstillAfterMs;
+        world.submit(pool, world.newJob("a", { runMs: 200, objectiveMs: 1_000 }));
+        await world.time.advance(20);
+        expect(world.workers[0]!.runningCount).toBe(1);
+        await world.time.advance(1_180);
+        expect(world.answers.get("a")).toEqual({ kind: "completed" });
+        expect(world.doubleRuns).toEqual([]);
+        // The worker gets no task for a while.
+        world.submit(pool, world.newJob("b", { runMs: 200 }));
+        await world.time.advance(20);
+        expect(world.workers[0]!.runningCount).toBe(0);
+    });
+
+    test("a task that takes three times its estimate on a slow worker is left alone", async () => {
+        const world = new PoolWorld(1);
+        const pool = world.newPool(1);
+        await world.time.advance(20);
+        const request = world.newJob("a", { runMs: 1_800, objectiveMs: 4_000 });
+        world.submit(pool, { ...request, tasks: request.tasks.map(task => ({ ...task, estimateMs: 600 })) });
+        await world.time.advance(1_900);
+        expect(world.answers.get("a")).toEqual({ kind: "completed" });
+        expect(world.begun).toEqual(["a.0"]);
+    });
+
     test("places a task of a silent worker elsewhere only once its lease is over", async () => {
         const world = new PoolWorld(2);
         const pool = world.newPool(1);
--- a/stand-ins/src/LeasedWorker.ts
+++ b/stand-ins/src/LeasedWorker.ts
@@ -22,6 +22,9 @@
     readonly task: TaskName;
     readonly run: number;
     readonly room: Room;
+    readonly beganAt: Milliseconds;
+    /** Time after which it makes no progress. */
+    readonly frozenAfterMs: Milliseconds;
     cancelEnd: Unsubscribe;
 }
 
@@ -63,7 +66,8 @@
     /** So many waiting watches are carried out and go unanswered. */
     unansweredWatches = 0;
     failsAll = false;
-    hangs = false;
+    /** Tasks that begin now stand still after this time. */
+    standstillAfterMs: Milliseconds = Infinity;
     /** Rate of the worker's clock. */
     clockRate = 1;
     private readonly runs = new Map<TaskName, LeasedRun>();
@@ -160,13 +164,21 @@
     }
 
     private begin(order: StartOrder, room: Room): void {
-        const run: LeasedRun = { task: order.task, run: order.run, room, cancelEnd: () => undefined };
+        const run: LeasedRun = {
+            task: order.task,
+            run: order.run,
+            room,
+            beganAt: this.options.clock.now(),
+            frozenAfterMs: this.standstillAfterMs,
+            cancelEnd: () => undefined,
+        };
         this.runs.set(order.task, run);
         this.used = addRoom(this.used, room);
         this.options.onBegin(order.task, order.run);
-        if (!this.hangs) {
+        const runMs = this.options.getRunMs(order.task);
+        if (runMs <= run.frozenAfterMs) {
             const how = this.failsAll ? "failed" : "done";
-            run.cancelEnd = this.options.timers.after(this.options.getRunMs(order.task), () => this.end(run, how));
+            run.cancelEnd = this.options.timers.after(runMs, () => this.end(run, how));
         }
     }
 
@@ -217,11 +229,20 @@
         return {
             clock: this.now(),
             incarnation: this.incarnation,
-            running: [...this.runs.values()].map(({ task, run }) => ({ task, run, percent: 0 })),
+            running: [...this.runs.values()].map(run => ({
+                task: run.task,
+                run: run.run,
+                percent: this.getPercent(run),
+            })),
             ends: [...this.ends],
         };
     }
 
+    private getPercent(run: LeasedRun): number {
+        const workedMs = Math.min(this.options.clock.now() - run.beganAt, run.frozenAfterMs);
+        return Math.min(99, Math.floor(100 * workedMs / this.options.getRunMs(run.task)));
+    }
+
     private extendLease(until: Milliseconds): void {
         this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, this.now() + longestLeaseMs));
     }
