An entry that hears its whole zone claims after 0.1 s

Cause: after a final fault the entries had their configuration at 0.25 s and claimed the zone's workers only 0.4 to 0.7 s after their start: they waited for an owner that might still be joining. Ruled out: a shorter wait in general: an entry that restarts alone could claim before it hears the owner that is there. Change: the wait is 0.1 s once all control instances that are heard have told the zone's entries and each of them is heard; 0.4 s otherwise. A test claims too late with the old code.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -75,6 +75,7 @@
             getCandidates: () => this.mesh.getCandidates(),
             getFitness: () => this.getFitness(),
             isIsolated: () => this.mesh.getCandidates().length === 0 && (this.control?.openCount ?? 0) === 0,
+            isZoneHeard: () => (this.control?.areMembersTold ?? false) && this.mesh.isEachPeerHeard(),
             clock,
             logger,
             onClaim: claim => this.setClaim(claim),
--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -5,7 +5,7 @@
 
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import type { Logger } from "@anvilmux/telemetry";
-import { electionSettlingMs } from "./constants";
+import { electionSettlingMs, heardElectionSettlingMs } from "./constants";
 
 /** Another entry of the zone, as it was heard last. */
 export interface Candidate {
@@ -28,6 +28,8 @@
     readonly getFitness: () => Fitness;
     /** True when neither another entry nor control is heard: this entry is probably the one that is cut off. */
     readonly isIsolated: () => boolean;
+    /** True when every entry of the zone that control knows of is heard here. */
+    readonly isZoneHeard: () => boolean;
     readonly clock: Clock;
     readonly logger: Logger;
     /** Called when this entry's claim changes; 0 is no claim. */
@@ -140,7 +142,10 @@
         if (this.options.isIsolated()) {
             return isolatedPatienceMs;
         }
-        return this.highestSeen > 0 ? 0 : electionSettlingMs;
+        if (this.highestSeen > 0) {
+            return 0;
+        }
+        return this.options.isZoneHeard() ? heardElectionSettlingMs : electionSettlingMs;
     }
 
     private setClaim(claim: number, reason: string): void {
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -53,5 +53,6 @@
 export const refusalRetryMs = 1_000;
 /** Time a job may wait at an entry that knows no owner of the zone's workers. */
 export const ownerlessPatienceMs = 300;
-/** Age at which a claim of ownership without an answer of its peers counts as settled. */
+/** Time an entry waits at its start for an owner to be heard, and the same once it hears every entry of its zone. */
 export const electionSettlingMs = 400;
+export const heardElectionSettlingMs = 100;
--- a/packages/dispatch/tests/ZoneElection.test.ts
+++ b/packages/dispatch/tests/ZoneElection.test.ts
@@ -10,6 +10,7 @@
     candidates: readonly Candidate[] = [];
     fitness: Fitness = "ready";
     isIsolated = false;
+    isZoneHeard = false;
 
     constructor(readonly id: string, readonly time: VirtualTime, number = 1) {
         this.election = new ZoneElection({
@@ -18,6 +19,7 @@
             getCandidates: () => this.candidates,
             getFitness: () => this.fitness,
             isIsolated: () => this.isIsolated,
+            isZoneHeard: () => this.isZoneHeard,
             clock: time,
             logger: newSilentLogger(),
             onClaim: () => undefined,
@@ -42,6 +44,17 @@
         expect([first.election.isOwner, second.election.claim]).toEqual([true, 0]);
     });
 
+    test("an entry that hears its whole zone claims sooner, but not before an owner could be heard", async () => {
+        const time = new VirtualTime();
+        const entry = new Entry("a", time);
+        entry.isZoneHeard = true;
+        entry.candidates = [ready("b")];
+        await time.advance(60);
+        expect(entry.election.claim).toBe(0);
+        await time.advance(100);
+        expect(entry.election.isOwner).toBe(true);
+    });
+
     test("patience counts from the time an entry is fit, so that peers hear of each other first", async () => {
         const time = new VirtualTime();
         const entry = new Entry("a", time);
--- a/packages/fleet/src/ControlLinks.ts
+++ b/packages/fleet/src/ControlLinks.ts
@@ -28,6 +28,8 @@
 export class ControlLinks {
     private readonly links = new Map<Address, ControlLink>();
     private readonly owners = new Map<Address, readonly ZoneOwner[]>();
+    /** Control instances that told the entries of the zone on the present connection. */
+    private readonly informants = new Set<Address>();
     private fetching: number | undefined;
 
     constructor(private readonly options: ControlLinksOptions) {
@@ -39,6 +41,11 @@
         return [...this.links.values()].filter(link => link.isOpen).length;
     }
 
+    /** True when some control instance is heard and all that are heard have told the entries of the zone. */
+    get areMembersTold(): boolean {
+        return this.openCount > 0 && this.openCount === this.informants.size;
+    }
+
     stop(): void {
         this.links.forEach(link => link.stop());
     }
@@ -67,7 +74,10 @@
                 link.send({ type: "claim", claim: this.options.getClaim() });
             },
             onMessage: message => this.receive(link, message),
-            onClose: reason => environment.logger.warn("control instance lost", { control: address, reason }),
+            onClose: reason => {
+                this.informants.delete(address);
+                environment.logger.warn("control instance lost", { control: address, reason });
+            },
         });
         this.links.set(address, link);
     }
@@ -75,6 +85,7 @@
     private receive(link: ControlLink, message: FromControl): void {
         switch (message.type) {
             case "members":
+                this.informants.add(link.address);
                 message.control.forEach(address => this.add(address));
                 this.options.onMembers(message.members);
                 return;
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -79,6 +79,11 @@
         return [...this.heard.values()].filter(state => this.peers.get(state.id)?.link.isOpen);
     }
 
+    /** True when every entry of the zone that is known here is heard and can be called. */
+    isEachPeerHeard(): boolean {
+        return this.getCandidates().length === this.peers.size;
+    }
+
     /** False when the peer cannot be reached now. */
     send(peerId: string, message: ToPeer): boolean {
         return this.peers.get(peerId)?.link.send(message) ?? false;
