--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -4,11 +4,13 @@
  */
 
 import type { JobId, Milliseconds, Unsubscribe } from "@anvilmux/common";
-import { maximumPassedOver, orphanGraceMs, poolTickMs, refusalRetryMs, spilledGraceMs } from "./constants";
+import { maximumPassedOver, orphanGraceMs, poolTickMs, spilledGraceMs } from "./constants";
 import { EndedJobs } from "./EndedJobs";
 import { JobTable } from "./JobTable";
 import { OwnedWorkers } from "./OwnedWorkers";
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
+import { isHopeless, isUncertain, newGivenUpAnswer } from "./patience";
+import type { PoolView } from "./patience";
 import { getUncertaintyEnd, newPoolJob, placeTask } from "./PoolJob";
 import type { PoolJob, PoolTask } from "./PoolJob";
 import { logGivenUp, logPlacement, logRunEnd, logStandstill } from "./poolLog";
@@ -197,7 +199,7 @@
 
     /** True when no task of the job has to go on waiting. */
     private placeTasks(job: PoolJob): boolean {
-        if (this.isUncertain(job)) {
+        if (isUncertain(job, this.getView())) {
             return false;
         }
         for (const task of job.tasks) {
@@ -208,13 +210,8 @@
         return true;
     }
 
-    private isUncertain(job: PoolJob): boolean {
-        const isPending = this.options.clock.now() < job.uncertainUntil;
-        return isPending && (job.request.mayRunElsewhere || !this.workers.areAllListed());
-    }
-
     private spill(job: PoolJob): void {
-        if (!job.request.spilled && !this.handingOver && !this.isUncertain(job)) {
+        if (!job.request.spilled && !this.handingOver && !isUncertain(job, this.getView())) {
             this.spiller.spill(
                 job,
                 job.tasks.filter(task => task.state === "waiting" && !this.liveRuns.has(task.request.name)),
@@ -368,33 +365,27 @@
 
     /** Gives up on jobs that can no longer be served in time, and tries what waits. */
     private tick(): void {
-        const now = this.options.clock.now();
-        for (const job of this.jobs.getAll()) {
-            const isOverdue = now > job.receivedAt + job.request.remainingMs;
-            if (isOverdue || (now > job.startBy && this.canNoLongerStart(job))) {
-                this.giveUp(job);
-            }
-        }
+        const view = this.getView();
+        this.jobs.getAll().filter(job => isHopeless(job, view)).forEach(job => this.giveUp(job));
         if (this.jobs.waitingCount > 0) {
             this.serve();
         }
     }
 
-    /** False while a run that a former owner started may yet be found and taken over. */
-    private canNoLongerStart(job: PoolJob): boolean {
-        return job.started === 0 && (job.request.mayRunElsewhere || !this.isUncertain(job));
-    }
-
     private giveUp(job: PoolJob): void {
-        const { resubmitted, mayRunElsewhere } = job.request;
-        const neverRan = job.started === 0 && !resubmitted && !mayRunElsewhere;
-        const refused: JobAnswer = { kind: "refused", reason: "no room in time", retryAfterMs: refusalRetryMs };
-        const unknown: JobAnswer = { kind: "unknown", reason: "not ended in time, and tasks of it may have run" };
         logGivenUp(this.options, job, {
             waitingJobs: this.jobs.waitingCount,
             ...this.workers.describeRoom(job.request.service),
             otherZones: this.spiller.describeRoom(job.request.service),
         });
-        this.finish(job, neverRan ? refused : unknown);
+        this.finish(job, newGivenUpAnswer(job));
+    }
+
+    private getView(): PoolView {
+        return {
+            now: this.options.clock.now(),
+            startedAt: this.startedAt,
+            areAllListed: () => this.workers.areAllListed(),
+        };
     }
 }
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -141,6 +141,10 @@
                 run.state = "running";
                 return;
             case "refused":
+                if (answer.clock !== undefined) {
+                    // A start refused as late shows how far the estimate is off.
+                    this.time.noteClock(answer.clock);
+                }
                 this.noteRefusal(run, answer.reason);
                 return;
             case "gone":
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -123,7 +123,8 @@
 /** The answer to a start; `unanswered` means that the run may exist or come to exist until the order's deadline. */
 export type StartAnswer =
     | { readonly kind: "started"; readonly clock: Milliseconds; }
-    | { readonly kind: "refused"; readonly reason: StartRefusal; }
+    /** `clock`: the worker's clock when it refused, if it told it. */
+    | { readonly kind: "refused"; readonly reason: StartRefusal; readonly clock: Milliseconds | undefined; }
     | { readonly kind: "gone"; }
     | { readonly kind: "unanswered"; readonly reason: string; };
 
--- a/stand-ins/src/LeasedWorker.ts
+++ b/stand-ins/src/LeasedWorker.ts
@@ -142,22 +142,22 @@
 
     private carryOut(order: StartOrder): StartAnswer {
         if (order.fence < this.fence) {
-            return { kind: "refused", reason: "fence" };
+            return { kind: "refused", reason: "fence", clock: this.now() };
         }
         this.fence = order.fence;
         if (this.now() > order.deadline) {
-            return { kind: "refused", reason: "late" };
+            return { kind: "refused", reason: "late", clock: this.now() };
         }
         this.extendLease(order.deadline);
         if (this.runs.get(order.task)?.run === order.run) {
             return { kind: "started", clock: this.now() };
         }
         if (order.run <= (this.lastRuns.get(order.task) ?? 0)) {
-            return { kind: "refused", reason: "old" };
+            return { kind: "refused", reason: "old", clock: this.now() };
         }
         const room = this.options.getRoom(order.task);
         if (!fits(subtractRoom(this.options.announcement.room, this.used), room)) {
-            return { kind: "refused", reason: "room" };
+            return { kind: "refused", reason: "room", clock: this.now() };
         }
         this.begin(order, room);
         return { kind: "started", clock: this.now() };
