--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -384,7 +384,6 @@
     private getView(): PoolView {
         return {
             now: this.options.clock.now(),
-            startedAt: this.startedAt,
             areAllListed: () => this.workers.areAllListed(),
         };
     }
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -33,8 +33,6 @@
 export const orphanGraceMs = 400;
 /** Time after a change of owner in which runs of an unreachable worker may go on: its old owner's patience and lease. */
 export const takeoverUncertaintyMs = 1_900;
-/** Time a new owner gives the workers to be listed before it refuses jobs for want of room. */
-export const takeoverPatienceMs = 500;
 /** Time after which tasks that another zone handed over are stopped when its owner is lost. */
 export const spilledGraceMs = 50;
 /** Workers whose free room is told to other zones. */
--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/patience.ts
@@ -1,14 +1,13 @@
-/** How long a pool waits with a job: for runs of a former owner, for workers not listed yet, and when it gives up. */
+/** How long a pool waits with a job: for runs of a former owner, and when it gives up. */
 
 import type { Milliseconds } from "@anvilmux/common";
-import { refusalRetryMs, takeoverPatienceMs } from "./constants";
+import { refusalRetryMs } from "./constants";
 import type { PoolJob } from "./PoolJob";
 import type { JobAnswer } from "./types";
 
 /** What a pool knows when it decides. */
 export interface PoolView {
     readonly now: Milliseconds;
-    readonly startedAt: Milliseconds;
     /** True once every worker has listed its runs. */
     readonly areAllListed: () => boolean;
 }
@@ -31,11 +30,6 @@
         : { kind: "unknown", reason: "not ended in time, and tasks of it may have run" };
 };
 
-/** False while a run that a former owner started, or the room of workers not listed yet, may be found. */
-const canNoLongerStart = (job: PoolJob, view: PoolView): boolean => {
-    const isTakingOver = view.now < view.startedAt + takeoverPatienceMs && !view.areAllListed();
-    if (job.started > 0 || isTakingOver) {
-        return false;
-    }
-    return job.request.mayRunElsewhere || !isUncertain(job, view);
-};
+/** False while a run that a former owner started may yet be found and taken over. */
+const canNoLongerStart = (job: PoolJob, view: PoolView): boolean =>
+    job.started === 0 && (job.request.mayRunElsewhere || !isUncertain(job, view));
