--- a/packages/dispatch/src/WorkerRecord.ts
+++ b/packages/dispatch/src/WorkerRecord.ts
@@ -16,6 +16,7 @@
 export class WorkerRecord {
     private failuresInARow = 0;
     private pauses = 0;
+    private pausedUntil: Milliseconds = 0;
     private slowness = 1;
     private lastNoted: Milliseconds = 0;
 
@@ -40,9 +41,14 @@
         return this.nextPause();
     }
 
-    /** Each pause in a row is twice as long. */
+    /** Each pause in a row is twice as long; what began before a pause cannot prolong it. */
     private nextPause(): Milliseconds {
+        const now = this.clock.now();
+        if (now < this.pausedUntil) {
+            return 0;
+        }
         const pause = Math.min(longestPauseMs, firstPauseMs * 2 ** this.pauses);
+        this.pausedUntil = now + pause;
         this.pauses += 1;
         // The first run after the pause decides alone.
         this.failuresInARow = failuresToPause - 1;
