Log writes hold whole lines and at most 4,096 bytes

Ruled out: lines left out by our own bound (none were counted). Change: a write takes as many whole lines as a pipe takes at once. The count of lines left out is written once less than half of the bound waits. A test fails with the old writer.

--- a/packages/telemetry/src/LineWriter.ts
+++ b/packages/telemetry/src/LineWriter.ts
@@ -12,6 +12,10 @@
 
 /** Bytes that may wait for a slow reader. */
 const maximumWaitingBytes = 1_048_576;
+/** The count of lines left out is written once less than this waits. */
+const caughtUpBytes = maximumWaitingBytes / 2;
+/** Largest write: a pipe takes this much whole, so that a reader never sees a part of a line. */
+const maximumWriteBytes = 4_096;
 /** Time for which lines are gathered into one write. */
 const gatherMs = 25;
 const retryAfterBusyMs = 20;
@@ -42,11 +46,16 @@
         }
     }
 
-    /** Takes out everything that waits, for a last write at the end of the process. */
+    /** Takes out the oldest lines that fit into one write, at least one; empty when none waits. */
     takeWaiting(): string {
-        const text = this.lines.map(line => line + "\n").join("");
-        this.lines = [];
-        this.waitingBytes = 0;
+        let bytes = 0;
+        const count = this.lines.findIndex(line => {
+            bytes += Buffer.byteLength(line) + 1;
+            return bytes > maximumWriteBytes;
+        });
+        const taken = this.lines.splice(0, count < 0 ? this.lines.length : Math.max(1, count));
+        const text = taken.map(line => line + "\n").join("");
+        this.waitingBytes -= text.length;
         return text;
     }
 
@@ -54,8 +63,8 @@
         this.cancelFlush = undefined;
         this.writing = true;
         while (this.lines.length > 0 || this.dropped > 0) {
-            const dropped = this.dropped;
-            const text = this.takeWaiting() + (dropped > 0 ? toDropLine(dropped) : "");
+            const dropped = this.waitingBytes < caughtUpBytes ? this.dropped : 0;
+            const text = dropped > 0 ? toDropLine(dropped) : this.takeWaiting();
             try {
                 await this.writeText(text);
                 this.dropped -= dropped;
@@ -109,7 +118,9 @@
     const writer = new LineWriter(newStandardOutput(timers), timers);
     process.on("exit", () => {
         try {
-            writeSync(standardOutput, writer.takeWaiting());
+            for (let text = writer.takeWaiting(); text !== ""; text = writer.takeWaiting()) {
+                writeSync(standardOutput, text);
+            }
         }
         catch (error) {
             process.stderr.write(`last log lines not written: ${getErrorMessage(error)}\n`);
--- a/packages/telemetry/tests/logs.test.ts
+++ b/packages/telemetry/tests/logs.test.ts
@@ -28,6 +28,20 @@
         expect(written).toEqual(["one\ntwo\n"]);
     });
 
+    test("a write holds whole lines and no more than a pipe takes at once", async () => {
+        const time = new VirtualTime();
+        const written: string[] = [];
+        const writer = new LineWriter(async text => void written.push(text), time);
+        const lines = Array.from({ length: 60 }, (_, number) => `${number} ${"é".repeat(150)}`);
+        lines.forEach(line => writer.write(line));
+        writer.write("y".repeat(5_000));
+        await time.advance(100);
+        const ordinary = written.filter(text => !text.startsWith("y"));
+        expect(Math.max(...ordinary.map(text => Buffer.byteLength(text)))).toBeLessThanOrEqual(4_096);
+        expect(written.every(text => text.endsWith("\n"))).toBe(true);
+        expect(written.join("")).toBe([...lines, "y".repeat(5_000)].map(line => line + "\n").join(""));
+    });
+
     test("a reader that does not read delays nothing; what was left out is counted and told", async () => {
         const time = new VirtualTime();
         const written: string[] = [];
