An owner whose token was refused reads all lists again before it goes on

Connections were reset between two entries that both lived: the other claimed, started tasks, and lost its claim when the first owner, refused by a worker, raised its token at once. The first owner's pool took what it knew for all that runs; a job that came back to it was started beside its run. Ruled out: late orders and spilled tasks (both runs in one zone, ordered within 22 ms, by two owners). Change: a raised token begins ownership anew for the pool: no worker takes a task until a list asked for after the raise has come, and jobs that had another owner wait for that. A refused owner first waits 0.25 s for the entry that holds the higher token, to which it yields; it raises its own only when none is heard. Tests: double run on the pool without the new lists; yielding in the election (the test of raising now waits for it; its bounds are as before).

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -243,13 +243,16 @@
 
     private setClaim(claim: number): void {
         const isOwner = claim > 0;
-        if (isOwner && !this.pool) {
+        if (isOwner && this.pool) {
+            this.pool.noteTokenRaised();
+        }
+        else if (isOwner) {
             this.pool = this.newPool();
             this.ownerLinks = this.newOwnerLinks();
             this.ownerLinks.noteOwners(this.owners);
             this.workers.getAll().forEach(worker => this.pool?.setWorker(worker));
         }
-        else if (!isOwner) {
+        else {
             this.pool?.stop();
             this.pool = undefined;
             this.ownerLinks?.stop();
--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -117,6 +117,11 @@
         this.pause(session, this.workers.get(session.id)?.record.noteStandstill() ?? 0);
     }
 
+    /** The token was raised; no worker takes a task before it was listed again. */
+    listAgain(): void {
+        this.workers.forEach(worker => worker.session.listAgain());
+    }
+
     close(): void {
         this.workers.forEach(worker => worker.session.close());
         this.workers.clear();
--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -36,11 +36,12 @@
     private servePlanned = false;
     private closed = false;
     private handingOver = false;
-    private readonly startedAt: Milliseconds;
+    /** Begin of the present token: what ran before it is known only from lists. */
+    private ownsSince: Milliseconds;
     private readonly unsubscribe: Unsubscribe;
 
     constructor(private readonly options: PoolOptions) {
-        this.startedAt = options.clock.now();
+        this.ownsSince = options.clock.now();
         this.ended = new EndedJobs(options.clock);
         this.spiller = new TaskSpiller(options, {
             onDone: (job, task) => this.noteDone(job, task),
@@ -86,7 +87,7 @@
             return;
         }
         const now = this.options.clock.now();
-        const job = newPoolJob(request, home, now, getUncertaintyEnd(request, now, this.startedAt));
+        const job = newPoolJob(request, home, now, getUncertaintyEnd(request, now, this.ownsSince));
         const obstacle = this.workers.findLastingObstacle(request);
         if (obstacle !== undefined) {
             this.answer(job, { kind: "failed", reason: obstacle });
@@ -132,6 +133,12 @@
         this.jobs.getAll().forEach(job => this.spiller.noteLost(zone, job));
     }
 
+    /** The token was raised because a worker obeyed a higher one: another owner may have started tasks in between. */
+    noteTokenRaised(): void {
+        this.ownsSince = this.options.clock.now();
+        this.workers.listAgain();
+    }
+
     /** From now on nothing goes to or comes from other zones, so that the pool can be handed over without loss. */
     prepareHandOver(): void {
         this.handingOver = true;
--- a/packages/dispatch/src/PoolJob.ts
+++ b/packages/dispatch/src/PoolJob.ts
@@ -89,10 +89,10 @@
 export const getUncertaintyEnd = (
     request: JobRequest,
     now: Milliseconds,
-    poolStartedAt: Milliseconds,
+    ownsSince: Milliseconds,
 ): Milliseconds => {
     if (request.mayRunElsewhere) {
         return now + takeoverUncertaintyMs;
     }
-    return request.resubmitted ? poolStartedAt + takeoverUncertaintyMs : 0;
+    return request.resubmitted ? ownsSince + takeoverUncertaintyMs : 0;
 };
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -34,6 +34,8 @@
     private readonly time: WorkerTime;
     private reachable = false;
     private everListed = false;
+    /** Only a list asked for after this time tells all that runs. */
+    private listsCountFrom: Milliseconds = 0;
     private closed = false;
     private failures = 0;
     private readonly paused: WorkerPause;
@@ -117,6 +119,13 @@
         return this.runs.get(task);
     }
 
+    /** The token was raised: what another owner started in between is known only from a new list. */
+    listAgain(): void {
+        this.everListed = false;
+        this.listsCountFrom = this.options.clock.now();
+        void this.look();
+    }
+
     /** Ends the session without touching what runs. */
     close(): void {
         this.closed = true;
@@ -167,11 +176,14 @@
         this.options.timers.after(Math.max(0, untilLook), () => void this.lookForUncertainRuns());
     }
 
-    /** One look beside the waiting watch. */
     private async lookForUncertainRuns(): Promise<void> {
-        if (this.closed || !this.reachable || !this.runs.getAll().some(run => run.state === "uncertain")) {
-            return;
+        if (!this.closed && this.reachable && this.runs.getAll().some(run => run.state === "uncertain")) {
+            await this.look();
         }
+    }
+
+    /** One look beside the waiting watch. */
+    private async look(): Promise<void> {
         const sentAt = this.options.clock.now();
         this.options.metrics.count("anvilmux_worker_looks_total");
         const answer = await this.options.driver.watch({
@@ -182,7 +194,7 @@
             timeoutMs: orderTimeoutMs,
         });
         // Without an answer the waiting watch tells.
-        if (answer.kind === "listed" && !this.closed && this.reachable) {
+        if (answer.kind === "listed" && !this.closed) {
             this.noteList(answer.list, sentAt);
         }
     }
@@ -197,6 +209,7 @@
             freeMillicores: this.free.millicores,
         });
         if (reason === "fence") {
+            this.pause(firstRetryPauseMs);
             this.end(run, "refused");
             this.options.onFenced(this.options.getFence());
             return;
@@ -262,10 +275,10 @@
         if (news === "overtaken") {
             return 0;
         }
-        const isNews = !this.reachable || !this.everListed;
+        const wasUsable = this.reachable && this.everListed;
         this.reachable = true;
-        this.everListed = true;
-        if (isNews) {
+        this.everListed ||= sentAt >= this.listsCountFrom;
+        if (!wasUsable && this.everListed) {
             this.options.logger.info("worker reachable", { worker: this.id, runs: this.runs.size });
             this.options.onChange();
         }
--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -43,6 +43,8 @@
 /** Time an entry that hears nobody waits before it claims, and after it had to yield. */
 const isolatedPatienceMs = 1_500;
 const isolatedYieldMs = 3_000;
+/** Time in which the owner whose token a worker obeys should be heard, before this entry raises its own. */
+const fencedPatienceMs = 250;
 
 export class ZoneElection {
     private claimed = 0;
@@ -51,6 +53,8 @@
     private raises = 0;
     private highestSeen = 0;
     private yieldsUntil: Milliseconds = 0;
+    /** When a worker first refused the present claim. */
+    private fencedSince: Milliseconds | undefined;
 
     constructor(private readonly options: ZoneElectionOptions) {}
 
@@ -78,6 +82,7 @@
         if (this.claimed > 0 && this.getOwnRank() < getHighestRank(candidates)) {
             this.setClaim(0, "this entry leaves and another is ready");
         }
+        this.considerRaising();
         if (this.claimed === 0 && !highest) {
             this.considerClaiming(candidates);
         }
@@ -87,7 +92,7 @@
         this.setOwner(this.claimed > 0 ? this.options.selfId : highest?.id);
     }
 
-    /** A worker obeys a higher token than `token`: the claim is raised, or given up when it changed in between. */
+    /** A worker obeys a higher token than `token`: unless its owner is heard soon, the claim is raised. */
     noteFenced(token: number): void {
         if (token !== this.claimed) {
             return;
@@ -98,9 +103,16 @@
             this.update();
             return;
         }
+        this.fencedSince ??= this.options.clock.now();
+    }
+
+    private considerRaising(): void {
+        if (this.fencedSince === undefined || this.options.clock.now() - this.fencedSince < fencedPatienceMs) {
+            return;
+        }
         this.raises += 1;
-        const raised = token + firstTokenStepMs * tokensPerMillisecond * 2 ** Math.min(this.raises, 20);
-        this.setClaim(raised, "a worker obeys a higher token");
+        const step = firstTokenStepMs * tokensPerMillisecond * 2 ** Math.min(this.raises, 20);
+        this.setClaim(this.claimed + step, "a worker obeys a higher token whose owner is not heard");
     }
 
     private noteTokens(candidates: readonly Candidate[]): void {
@@ -150,6 +162,7 @@
 
     private setClaim(claim: number, reason: string): void {
         this.claimed = claim;
+        this.fencedSince = undefined;
         this.options.logger.info(claim > 0 ? "claims the zone's workers" : "gives the zone's workers up", {
             claim,
             reason,
--- a/packages/dispatch/tests/Pool.test.ts
+++ b/packages/dispatch/tests/Pool.test.ts
@@ -262,6 +262,26 @@
         expect(world.fencedTokens).toContain(1);
     });
 
+    test("an owner that raises its token finds what another started in between", async () => {
+        const world = new PoolWorld(2);
+        let fence = 1;
+        const first = world.newPool(1, () => fence);
+        await world.time.advance(900);
+        const second = world.newPool(2);
+        await world.time.advance(20);
+        world.submit(second, world.newJob("a", { tasks: 3, runMs: 3_000, objectiveMs: 5_000 }));
+        // Into the next second, in which run numbers are higher.
+        await world.time.advance(150);
+        fence = 3;
+        first.noteTokenRaised();
+        world.submit(first, world.newJob("a", { tasks: 3, runMs: 3_000, objectiveMs: 5_000, resubmitted: true }));
+        second.stop();
+        await world.time.advance(3_500);
+        expect(world.doubleRuns).toEqual([]);
+        expect(world.begun).toHaveLength(3);
+        expect(world.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
     test("waits for an unreachable worker's leases before it starts a job again", async () => {
         const world = new PoolWorld(2);
         const first = world.newPool(1);
--- a/packages/dispatch/tests/ZoneElection.test.ts
+++ b/packages/dispatch/tests/ZoneElection.test.ts
@@ -135,6 +135,7 @@
         await time.advance(600);
         const { claim } = entry.election;
         entry.election.noteFenced(claim);
+        await time.advance(300);
         const raised = entry.election.claim;
         expect(raised).toBeGreaterThan(claim);
         entry.isIsolated = true;
@@ -143,4 +144,17 @@
         await time.advance(2_000);
         expect(entry.election.claim).toBe(0);
     });
+
+    test("an owner whose token is refused yields to the entry that is heard with a higher claim", async () => {
+        const time = new VirtualTime();
+        const entry = new Entry("a", time);
+        await time.advance(600);
+        const { claim } = entry.election;
+        entry.election.noteFenced(claim);
+        await time.advance(100);
+        expect(entry.election.claim).toBe(claim);
+        entry.candidates = [ready("b", claim + 5_000)];
+        await time.advance(400);
+        expect([entry.election.claim, entry.election.ownerId]).toEqual([0, "b"]);
+    });
 });
