A control voter that is silent for 3.5 s leaves once others have taken its place

A voter left only when gossip no longer announced it as alive, which takes 10 s and more from another zone. Ruled out: an instance that does not end after its notice (a test with three instances ends one at once). Change: the leader's own silence decides, after 3.5 s; a voter that was dropped is not admitted again for 15 s, as its announcements outlive it. Groups of three keep a silent voter, as before. Tests: repairs, and control instances over loopback, of which one ends.

--- /dev/null
+++ b/packages/anvilmux/tests/controlInstance.test.ts
@@ -0,0 +1,73 @@
+/** Control instances over loopback: they form a group, keep a configuration, and one ends while the others go on. */
+
+import { ControlInstance, loadSettings, newSystemEnvironment } from "@anvilmux/anvilmux";
+import { judgeHighestVersion, parseManifest } from "@anvilmux/manifest";
+import type { ManifestAuthority } from "@anvilmux/manifest";
+import { mkdtempSync, rmSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+const authority: ManifestAuthority = {
+    verify: text => ({ manifest: parseManifest(text), digest: text }),
+    read: text => ({ manifest: parseManifest(text), digest: text }),
+    judge: judgeHighestVersion,
+};
+
+const cleanups: (() => unknown)[] = [];
+afterEach(async () => {
+    for (const cleanup of cleanups.splice(0).reverse()) {
+        await cleanup();
+    }
+});
+
+const findFreePort = (): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+
+const startControl = async (name: string, port: number, peers: readonly string[]): Promise<ControlInstance> => {
+    const folder = mkdtempSync(join(tmpdir(), "anvilmux-control-"));
+    cleanups.push(() => rmSync(folder, { recursive: true, force: true }));
+    const { settings } = loadSettings({
+        "instance-id": name,
+        "zone": "eire-dub",
+        "host": "127.0.0.1",
+        "peer-port": String(port),
+        "seeds": peers.join(","),
+        "control-peers": peers.join(","),
+        "form-group": "true",
+        "data-folder": folder,
+        "peer-secrets": "test",
+        "platform-token": "test",
+        "operator-token": "test",
+    }, {});
+    const environment = { ...newSystemEnvironment(), authority };
+    const control = new ControlInstance({ settings, environment, linkPort: await findFreePort() });
+    await control.start();
+    return control;
+};
+
+const newManifest = (version: number): string => JSON.stringify({ format: 1, version });
+
+const submitUntilAccepted = async (control: ControlInstance, version: number): Promise<void> => {
+    while ((await control.submit(newManifest(version), 1_000)).kind !== "accepted") {
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+};
+
+test("one of three control instances ends at once, and the others go on", async () => {
+    const ports = [await findFreePort(), await findFreePort(), await findFreePort()];
+    const peers = ports.map(port => `127.0.0.1:${port}`);
+    const instances = await Promise.all(ports.map((port, number) => startControl(`core-${number}`, port, peers)));
+    cleanups.push(() => Promise.all(instances.map(instance => instance.stop())));
+    await submitUntilAccepted(instances[0]!, 1);
+    await instances[0]!.stop();
+    await submitUntilAccepted(instances[1]!, 2);
+    expect(JSON.parse(await instances[2]!.readNewest(5_000) ?? "{}")).toMatchObject({ version: 2 });
+}, 60_000);
--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -57,6 +57,8 @@
     /** When this leader last heard each member. */
     private readonly heardAt = new Map<string, Milliseconds>();
     private leadingSince: Milliseconds = 0;
+    /** When this leader dropped members. */
+    private readonly droppedAt = new Map<string, Milliseconds>();
 
     constructor(private readonly options: ControlServiceOptions) {}
 
@@ -226,6 +228,9 @@
             }
             const change = this.getRepair();
             if (change) {
+                if (change.remove !== "") {
+                    this.droppedAt.set(change.remove, this.options.clock.now());
+                }
                 const result = await replica.changeGroup(change).catch(error => getErrorMessage(error));
                 logger.info("control group repair", {
                     addLearner: change.addLearner?.memberId,
@@ -249,6 +254,7 @@
             members: replica.group.members,
             announced: this.options.getAnnouncedReplicas(),
             getSilence: memberId => now - (this.heardAt.get(memberId) ?? this.leadingSince),
+            getDropAge: memberId => now - (this.droppedAt.get(memberId) ?? -Infinity),
         });
     }
 }
--- a/packages/control/src/groupRepair.ts
+++ b/packages/control/src/groupRepair.ts
@@ -19,13 +19,17 @@
     readonly announced: readonly AnnouncedReplica[];
     /** How long the leader has not heard a member; 0 while it does. */
     readonly getSilence: (memberId: string) => Milliseconds;
+    /** Time since the leader dropped a member; infinite when it did not. */
+    readonly getDropAge: (memberId: string) => Milliseconds;
 }
 
 export const maximumVoters = 7;
 /** Voters that are kept even when one of them is gone. */
 export const leastVoters = 3;
-/** Silence after which a voter whose instance is not announced counts as gone for good. */
-export const goneAfterMs = 6_000;
+/** Silence after which a voter leaves, so that the next loss finds a smaller majority to be enough. */
+export const goneAfterMs = 3_500;
+/** Announcements outlive their instance for a while; a voter that was dropped may join again after this time. */
+export const readmitAfterMs = 15_000;
 
 /** The instance part of a member id. */
 export const getInstanceOfMember = (memberId: string): string => memberId.slice(0, memberId.lastIndexOf("~"));
@@ -54,10 +58,10 @@
     return undefined;
 };
 
-const admitNewcomer = ({ members, announced }: RepairInput): MembershipChange | undefined => {
+const admitNewcomer = ({ members, announced, getDropAge }: RepairInput): MembershipChange | undefined => {
     for (const replica of announced) {
         const present = members.find(member => member.memberId === replica.memberId);
-        if (!present && members.length < maximumVoters) {
+        if (!present && members.length < maximumVoters && getDropAge(replica.memberId) > readmitAfterMs) {
             return addLearner(replica);
         }
         if (present && !present.voter) {
@@ -67,11 +71,9 @@
     return undefined;
 };
 
-const dropGoneVoter = ({ members, announced, getSilence }: RepairInput): MembershipChange | undefined => {
+const dropGoneVoter = ({ members, getSilence }: RepairInput): MembershipChange | undefined => {
     const voters = members.filter(member => member.voter);
-    const gone = voters.find(member =>
-        getSilence(member.memberId) > goneAfterMs && !announced.some(replica => replica.memberId === member.memberId)
-    );
+    const gone = voters.find(member => getSilence(member.memberId) > goneAfterMs);
     return gone && voters.length > leastVoters ? create(MembershipChangeSchema, { remove: gone.memberId }) : undefined;
 };
 
--- a/packages/control/tests/groupRepair.test.ts
+++ b/packages/control/tests/groupRepair.test.ts
@@ -22,15 +22,18 @@
     silent: readonly string[] = [],
 ) => {
     let current = group;
+    const dropped = new Set<string>();
     for (let step = 0; step < 50; step++) {
         const change = getNextRepair({
             members: current.members,
             announced,
             getSilence: memberId => silent.includes(memberId) ? goneAfterMs + 1 : 0,
+            getDropAge: memberId => dropped.has(memberId) ? 0 : Infinity,
         });
         if (!change) {
             return current.members.map(member => `${member.memberId}${member.voter ? "" : "?"}`).sort();
         }
+        dropped.add(change.remove);
         current = changeGroup(current, change);
     }
     throw new Error("repairs do not end");
@@ -51,6 +54,11 @@
         expect(repairAll(newGroup("a~1", "b~1", "c~1"), announced, ["c~1"])).toEqual(["a~1", "b~1", "d~1"]);
     });
 
+    test("a silent voter leaves although it is announced for a while, and does not join again at once", () => {
+        const announced = announce("a~1", "b~1", "c~1", "d~1");
+        expect(repairAll(newGroup("a~1", "b~1", "c~1", "d~1"), announced, ["c~1"])).toEqual(["a~1", "b~1", "d~1"]);
+    });
+
     test("without a successor a silent voter stays, so that it can come back", () => {
         const announced = announce("a~1", "b~1");
         expect(repairAll(newGroup("a~1", "b~1", "c~1"), announced, ["c~1"])).toEqual(["a~1", "b~1", "c~1"]);
