An entry that ends answers everyone who still waits

Ruled out: refusing new jobs late in the grace period: they can still be served by the next owner. Change: the desk answers what is open before the entry ends: unknown where tasks may have run (the owner is told to stop them), refused otherwise.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -115,11 +115,12 @@
 
     stop(): void {
         this.unsubscribe();
+        // First, while the owner can still be told.
+        this.desk.stop();
         this.pool?.stop();
         this.ownerLinks?.stop();
         this.control?.stop();
         this.mesh.stop();
-        this.desk.stop();
         this.checker.stop();
     }
 
--- a/packages/dispatch/src/JobDesk.ts
+++ b/packages/dispatch/src/JobDesk.ts
@@ -46,8 +46,13 @@
         return this.jobs.size;
     }
 
+    /** Answers every caller that still waits, as the instance ends. */
     stop(): void {
         this.unsubscribe();
+        for (const job of [...this.jobs.values()]) {
+            this.cancelAtOwner(job);
+            this.answer(job, this.getLateAnswer(job, "the entry ends"));
+        }
     }
 
     /** Takes a job for a caller; the returned function tells that the caller is gone. */
