Entries hear of control instances that come later

Control told its addresses only when an entry came or went; once the instances an entry began with were gone, it had none. Ruled out: the control group itself (all configurations accepted and in force at control). Change: the hub looks twice a second whether the control instances changed and tells all entries. A test never ends without the change.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -142,6 +142,16 @@
         return this.election.ownerId;
     }
 
+    /** False while no control instance is heard. */
+    get hearsControl(): boolean {
+        return (this.control?.openCount ?? 0) > 0;
+    }
+
+    /** Connects also to control instances that the settings name now. */
+    addControlSeeds(seeds: readonly Address[]): void {
+        this.control?.addAddresses(seeds);
+    }
+
     findQueue(host: string, path: string): Queue | undefined {
         return this.queues.find(host, path);
     }
--- a/packages/anvilmux/tests/dispatchEntry.test.ts
+++ b/packages/anvilmux/tests/dispatchEntry.test.ts
@@ -3,7 +3,7 @@
 import { DispatchEntry, newSystemEnvironment } from "@anvilmux/anvilmux";
 import type { Environment } from "@anvilmux/anvilmux";
 import { toAddress, toInstanceId, toJobId, toZoneId } from "@anvilmux/common";
-import type { InstanceId } from "@anvilmux/common";
+import type { Address, InstanceId } from "@anvilmux/common";
 import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
 import type {
     JobAnswer,
@@ -110,7 +110,9 @@
     room: { millicores, memoryMebibytes: 1_000, accelerators: 0 },
 });
 
-const startControl = async (): Promise<{ readonly hub: ControlHub; readonly port: number; }> => {
+const startControl = async (
+    getControlAddresses: () => readonly Address[] = () => [],
+): Promise<{ readonly hub: ControlHub; readonly port: number; }> => {
     const port = await findFreePort();
     const checker = new ChannelChecker(environment.clock, environment.timers, () => undefined);
     const hub = new ControlHub({
@@ -120,7 +122,7 @@
         environment: { ...environment, logger },
         metrics: new Metrics(),
         configuration: { getIndex: () => 1, getEnvelope: () => manifestText },
-        getControlAddresses: () => [],
+        getControlAddresses,
     });
     await hub.start();
     cleanups.push(() => hub.stop(), () => checker.stop());
@@ -235,3 +237,15 @@
     await waitFor(() => second.ownerId === "b");
     expect(here.starts.map(start => start.task)).toEqual(["job1.0"]);
 }, 30_000);
+
+test("an entry connects to control instances that came later, and outlives those it began with", async () => {
+    const addresses: Address[] = [];
+    const former = await startControl(() => addresses);
+    const entry = await startEntry(toInstanceId("a"), "z1", former.port, new EndlessWorkers());
+    const successor = await startControl();
+    addresses.push(toAddress(`127.0.0.1:${successor.port}`));
+    await waitFor(() => successor.hub.entryCount === 1);
+    former.hub.stop();
+    await waitFor(() => former.hub.entryCount === 0);
+    expect(entry.hearsControl).toBe(true);
+}, 30_000);
--- a/packages/fleet/src/ControlHub.ts
+++ b/packages/fleet/src/ControlHub.ts
@@ -3,7 +3,7 @@
  * and the configuration in force. Everything here is learned again after a restart.
  */
 
-import type { Address } from "@anvilmux/common";
+import type { Address, Unsubscribe } from "@anvilmux/common";
 import type { WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
 import { LinkServer } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment, Session } from "@anvilmux/links";
@@ -28,6 +28,9 @@
     readonly getControlAddresses: () => readonly Address[];
 }
 
+/** Time between two looks at which control instances there are. */
+const addressPeriodMs = 500;
+
 interface ConnectedEntry {
     readonly send: (message: FromControl) => void;
     member: EntryMember | undefined;
@@ -38,6 +41,8 @@
     private readonly entries = new Set<ConnectedEntry>();
     private readonly workers = new WorkerDirectory();
     private server: LinkServer<ToControl, FromControl> | undefined;
+    private toldAddresses = "";
+    private unsubscribe: Unsubscribe = () => undefined;
 
     constructor(private readonly options: ControlHubOptions) {
         options.metrics.gauge("anvilmux_connected_entries", {}, () => this.entries.size);
@@ -51,9 +56,16 @@
             checker,
             accept: send => this.accept(send),
         });
+        this.unsubscribe = environment.timers.every(addressPeriodMs, () => this.tellNewAddresses());
+    }
+
+    /** Number of entries that are connected. */
+    get entryCount(): number {
+        return this.entries.size;
     }
 
     stop(): void {
+        this.unsubscribe();
         this.server?.close();
     }
 
@@ -162,6 +174,18 @@
         return { type: "owners", owners };
     }
 
+    /** Tells every entry when the control instances are others than before. */
+    private tellNewAddresses(): void {
+        const addresses = [...this.options.getControlAddresses()].sort().join(" ");
+        if (addresses === this.toldAddresses) {
+            return;
+        }
+        this.toldAddresses = addresses;
+        this.options.environment.logger.info("control instances known", { addresses });
+        const zones = new Set([...this.entries].flatMap(entry => entry.member?.zone ?? []));
+        zones.forEach(zone => this.tellMembers(zone));
+    }
+
     private tellMembers(zone: string): void {
         const members = [...this.entries].flatMap(entry => entry.member?.zone === zone ? [entry.member] : []);
         this.tellZone(zone, { type: "members", members, control: this.options.getControlAddresses() });
--- a/packages/fleet/src/ControlLinks.ts
+++ b/packages/fleet/src/ControlLinks.ts
@@ -33,7 +33,7 @@
     private fetching: number | undefined;
 
     constructor(private readonly options: ControlLinksOptions) {
-        options.seeds.forEach(seed => this.add(seed));
+        this.addAddresses(options.seeds);
     }
 
     /** Number of control instances that are heard. */
@@ -56,6 +56,11 @@
         this.links.forEach(link => link.send({ type: "claim", claim }));
     }
 
+    /** Connects to control instances that are not known yet. */
+    addAddresses(addresses: readonly Address[]): void {
+        addresses.forEach(address => this.add(address));
+    }
+
     private add(address: Address): void {
         if (this.links.has(address)) {
             return;
@@ -86,7 +91,7 @@
         switch (message.type) {
             case "members":
                 this.informants.add(link.address);
-                message.control.forEach(address => this.add(address));
+                this.addAddresses(message.control);
                 this.options.onMembers(message.members);
                 return;
             case "owners":
