Tasks go to another zone only once the home knows of it

Ruled out: treating every job of a lost owner as possibly elsewhere: each would wait 1.9 s. Change: the owner waits for the home's answer before the first tasks of a job leave the zone; a home that no longer has the job with that owner does not answer. A job that comes back through another home while tasks are away tells it. What follows from the end of a run moved to RunEnds, which shares its events with TaskSpiller. Tests: nothing is handed over before, another home is told, a desk answers only its present owner.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -201,6 +201,7 @@
             onSubmit: (home, message, reply) => {
                 this.takeFromPeer(message.request, home, reply);
             },
+            onAwayKnown: (home, message) => this.pool?.noteAwayKnown(message.id, home),
             onCancel: (home, message) => this.pool?.cancel(message.id, home, "cancelled by its entry"),
             onHomeLost: home => this.pool?.noteHomeLost(home),
         });
@@ -212,7 +213,10 @@
             this.pool.submit(request, {
                 key: home,
                 answer,
-                noteAway: () => reply({ type: "away", id: request.id }),
+                noteAway: () => {
+                    reply({ type: "away", id: request.id });
+                    return false;
+                },
                 noteBack: () => reply({ type: "back", id: request.id }),
             });
         }
@@ -244,7 +248,7 @@
                     answer: answer => this.desk.noteAnswer(id, request.id, answer),
                     // The desk outlives the pool when this entry hands ownership over.
                     noteAway: () => this.desk.noteElsewhere(id, request.id, true),
-                    noteBack: () => this.desk.noteElsewhere(id, request.id, false),
+                    noteBack: () => void this.desk.noteElsewhere(id, request.id, false),
                 });
                 return this.pool !== undefined;
             },
@@ -296,7 +300,9 @@
                 this.desk.noteAnswer(peerId, message.id, message.answer);
                 return;
             case "away":
-                this.desk.noteElsewhere(peerId, message.id, true);
+                if (this.desk.noteElsewhere(peerId, message.id, true)) {
+                    this.mesh.send(peerId, { type: "away-known", id: message.id });
+                }
                 return;
             case "back":
                 this.desk.noteElsewhere(peerId, message.id, false);
--- a/packages/dispatch/src/JobDesk.ts
+++ b/packages/dispatch/src/JobDesk.ts
@@ -83,12 +83,17 @@
         this.answer(job, answer);
     }
 
-    /** Takes note that an owner hands tasks of the job to another zone, or that none is there any more. */
-    noteElsewhere(ownerId: string, id: JobId, isElsewhere: boolean): void {
+    /**
+     * Takes note that an owner is about to hand tasks of the job to another zone, or that none is there any more. False
+     * when the job is not with that owner; it must not hand anything over then.
+     */
+    noteElsewhere(ownerId: string, id: JobId, isElsewhere: boolean): boolean {
         const job = this.jobs.get(id);
-        if (job?.ownerId === ownerId) {
-            job.mayRunElsewhere = isElsewhere;
+        if (job?.ownerId !== ownerId) {
+            return false;
         }
+        job.mayRunElsewhere = isElsewhere;
+        return true;
     }
 
     /** Hands all open jobs to the owner that is in charge now. */
--- a/packages/dispatch/src/Pool.ts
+++ b/packages/dispatch/src/Pool.ts
@@ -12,9 +12,10 @@
 import { isHopeless, isUncertain, newGivenUpAnswer } from "./patience";
 import type { PoolView } from "./patience";
 import { getUncertaintyEnd, newPoolJob, placeTask } from "./PoolJob";
-import type { PoolJob, PoolTask } from "./PoolJob";
-import { logGivenUp, logPlacement, logRunEnd, logStandstill } from "./poolLog";
-import { getFirstRun, runsSkippedAfterOld } from "./runNumbers";
+import type { PoolJob, PoolTask, TaskEvents } from "./PoolJob";
+import { logGivenUp, logPlacement, logStandstill } from "./poolLog";
+import { RunEnds } from "./RunEnds";
+import { getFirstRun } from "./runNumbers";
 import type { Run, RunOutcome } from "./RunTable";
 import { hasSameTasks } from "./spill";
 import { TaskSpiller } from "./TaskSpiller";
@@ -33,6 +34,7 @@
     private readonly jobs = new JobTable();
     private readonly ended: EndedJobs;
     private readonly spiller: TaskSpiller;
+    private readonly runEnds: RunEnds;
     private servePlanned = false;
     private closed = false;
     private handingOver = false;
@@ -43,11 +45,12 @@
     constructor(private readonly options: PoolOptions) {
         this.ownsSince = options.clock.now();
         this.ended = new EndedJobs(options.clock);
-        this.spiller = new TaskSpiller(options, {
+        const events: TaskEvents = {
             onDone: (job, task) => this.noteDone(job, task),
-            onReturned: (job, task) => this.waitAgain(job, task),
-            onEnd: (job, answer) => this.finish(job, answer),
-        });
+            onAgain: (job, task) => this.waitAgain(job, task),
+            onFinish: (job, answer) => this.finish(job, answer),
+        };
+        this.spiller = new TaskSpiller(options, events);
         this.workers = new OwnedWorkers({
             ...options,
             onEnd: (session, run, outcome) => this.noteEnd(session, run, outcome),
@@ -55,6 +58,7 @@
             onStandstill: (session, run, percent) => this.noteStandstill(session, run, percent),
             onChange: () => this.planServe(),
         });
+        this.runEnds = new RunEnds(options, this.workers, events);
         this.unsubscribe = options.timers.every(poolTickMs, () => this.tick());
     }
 
@@ -76,7 +80,7 @@
         }
         const present = this.jobs.get(request.id);
         if (present && hasSameTasks(present.request, request)) {
-            present.home = home;
+            this.moveHome(present, home);
             return;
         }
         if (present) {
@@ -99,6 +103,14 @@
         this.planServe();
     }
 
+    private moveHome(job: PoolJob, home: JobHome): void {
+        job.home = home;
+        job.awayKnown = "no";
+        if (job.away.size > 0) {
+            job.awayKnown = home.noteAway() ? "yes" : "asked";
+        }
+    }
+
     /** Ends a job that nobody waits for any more; its runs are stopped. */
     cancel(id: JobId, homeKey: string, reason: string): void {
         const job = this.jobs.get(id);
@@ -120,6 +132,15 @@
         this.options.timers.after(orphanGraceMs, () => endJobs(false));
     }
 
+    /** The home knows now that tasks of its job may go to other zones. */
+    noteAwayKnown(id: JobId, homeKey: string): void {
+        const job = this.jobs.get(id);
+        if (job?.awayKnown === "asked" && job.home.key === homeKey) {
+            job.awayKnown = "yes";
+            this.planServe();
+        }
+    }
+
     /** Takes note of what became of tasks handed to another zone. */
     noteRemoteAnswer(zone: string, id: JobId, answer: JobAnswer): void {
         const job = this.jobs.get(id);
@@ -272,44 +293,11 @@
         }
         const owner = this.jobs.findTask(run.task);
         if (owner && owner.task.session === session && owner.task.state === "placed") {
-            this.noteTaskEnd(owner.job, owner.task, session, run, outcome);
+            this.runEnds.note(owner.job, owner.task, session, run, outcome);
         }
         this.planServe();
     }
 
-    private noteTaskEnd(job: PoolJob, task: PoolTask, session: WorkerSession, run: Run, outcome: RunOutcome): void {
-        const { metrics, clock } = this.options;
-        const ranMs = clock.now() - task.placedAt;
-        metrics.count("anvilmux_run_ends_total", { outcome });
-        if (outcome !== "done") {
-            logRunEnd(this.options, job, task, run, outcome);
-        }
-        task.session = undefined;
-        switch (outcome) {
-            case "done":
-                this.workers.noteDone(session, ranMs / Math.max(1, task.request.estimateMs));
-                this.noteDone(job, task);
-                return;
-            case "failed":
-                this.noteFailure(job, task, session);
-                return;
-            case "invalid":
-                this.finish(job, { kind: "failed", reason: `the worker cannot read task ${run.task}` });
-                return;
-            case "stopped":
-            case "never-started":
-                task.avoided.push(session);
-                this.waitAgain(job, task);
-                return;
-            case "refused-old":
-                task.lastRun += runsSkippedAfterOld;
-                this.waitAgain(job, task);
-                return;
-            default:
-                this.waitAgain(job, task);
-        }
-    }
-
     private noteDone(job: PoolJob, task: PoolTask): void {
         task.state = "done";
         job.done += 1;
@@ -318,17 +306,6 @@
         }
     }
 
-    private noteFailure(job: PoolJob, task: PoolTask, session: WorkerSession): void {
-        this.workers.noteFailed(session);
-        task.failures += 1;
-        task.avoided.push(session);
-        if (task.failures >= job.request.attempts) {
-            this.finish(job, { kind: "failed", reason: `task ${task.request.name} failed ${task.failures} times` });
-            return;
-        }
-        this.waitAgain(job, task);
-    }
-
     private waitAgain(job: PoolJob, task: PoolTask): void {
         task.state = "waiting";
         job.waiting += 1;
--- a/packages/dispatch/src/PoolJob.ts
+++ b/packages/dispatch/src/PoolJob.ts
@@ -2,7 +2,7 @@
 
 import type { Milliseconds } from "@anvilmux/common";
 import { runTimeMargin, takeoverUncertaintyMs } from "./constants";
-import type { JobHome, JobRequest, TaskRequest } from "./types";
+import type { JobAnswer, JobHome, JobRequest, TaskRequest } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
 export interface PoolTask {
@@ -30,6 +30,8 @@
     /** Runs ordered so far; a job with none can be refused. */
     started: number;
     home: JobHome;
+    /** Whether the home knows that tasks may be in other zones; only then they are handed over. */
+    awayKnown: "no" | "asked" | "yes";
     /** Tasks handed to other zones, by zone. */
     readonly away: Map<string, readonly PoolTask[]>;
     /** True once it has its answer or nobody waits for it. */
@@ -38,6 +40,14 @@
     uncertainUntil: Milliseconds;
 }
 
+/** What becomes of a task after a run here or its stay in another zone. */
+export interface TaskEvents {
+    readonly onDone: (job: PoolJob, task: PoolTask) => void;
+    /** The task has no run and waits again. */
+    readonly onAgain: (job: PoolJob, task: PoolTask) => void;
+    readonly onFinish: (job: PoolJob, answer: JobAnswer) => void;
+}
+
 /** The longest estimated task of a job. */
 export const getLongestEstimate = (request: JobRequest): Milliseconds =>
     Math.max(...request.tasks.map(task => task.estimateMs));
@@ -64,6 +74,7 @@
     done: 0,
     started: 0,
     home,
+    awayKnown: "no",
     away: new Map(),
     closed: false,
     uncertainUntil,
--- a/packages/dispatch/src/TaskSpiller.ts
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -2,7 +2,7 @@
 
 import type { Clock, JobId } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
-import type { PoolJob, PoolTask } from "./PoolJob";
+import type { PoolJob, PoolTask, TaskEvents } from "./PoolJob";
 import { chooseSpill } from "./spill";
 import type { JobAnswer, RemotePool } from "./types";
 
@@ -14,19 +14,26 @@
     readonly metrics: Metrics;
 }
 
-/** What becomes of tasks that other zones had. */
-export interface TaskSpillerEvents {
-    readonly onDone: (job: PoolJob, task: PoolTask) => void;
-    /** The task has not run there and waits again. */
-    readonly onReturned: (job: PoolJob, task: PoolTask) => void;
-    readonly onEnd: (job: PoolJob, answer: JobAnswer) => void;
-}
-
 export class TaskSpiller {
-    constructor(private readonly options: TaskSpillerOptions, private readonly events: TaskSpillerEvents) {}
+    constructor(private readonly options: TaskSpillerOptions, private readonly events: TaskEvents) {}
 
-    /** Hands over as many of the waiting tasks as other zones have room for. */
+    /** Hands over as many of the waiting tasks as other zones have room for, once the home knows of it. */
     spill(job: PoolJob, waiting: readonly PoolTask[]): void {
+        if (job.awayKnown === "no" && this.findRoom(job, waiting)) {
+            job.awayKnown = job.home.noteAway() ? "yes" : "asked";
+        }
+        if (job.awayKnown === "yes") {
+            this.handOverAll(job, waiting);
+        }
+    }
+
+    private findRoom(job: PoolJob, waiting: readonly PoolTask[]): boolean {
+        return this.options.getRemotePools().some(remote =>
+            !job.away.has(remote.zone) && chooseSpill(waiting, remote.free[job.request.service] ?? []).tasks.length > 0
+        );
+    }
+
+    private handOverAll(job: PoolJob, waiting: readonly PoolTask[]): void {
         let rest = waiting;
         for (const remote of this.options.getRemotePools()) {
             if (rest.length === 0) {
@@ -47,10 +54,11 @@
         }
         job.away.delete(zone);
         if (answer.kind !== "completed" && answer.kind !== "refused") {
-            this.events.onEnd(job, answer);
+            this.events.onFinish(job, answer);
             return;
         }
         if (job.away.size === 0) {
+            job.awayKnown = "no";
             job.home.noteBack();
         }
         if (answer.kind === "completed") {
@@ -58,13 +66,13 @@
             return;
         }
         job.started -= tasks.length;
-        tasks.forEach(task => this.events.onReturned(job, task));
+        tasks.forEach(task => this.events.onAgain(job, task));
     }
 
     /** The pool of another zone is out of reach; whether the tasks handed to it run is not known. */
     noteLost(zone: string, job: PoolJob): void {
         if (job.away.has(zone)) {
-            this.events.onEnd(job, {
+            this.events.onFinish(job, {
                 kind: "unknown",
                 reason: `tasks are in zone "${zone}", which is out of reach`,
             });
@@ -93,7 +101,6 @@
         if (tasks.length === 0) {
             return;
         }
-        job.home.noteAway();
         const elapsed = this.options.clock.now() - job.receivedAt;
         const isSent = remote.submit({
             ...job.request,
--- a/packages/dispatch/src/poolLog.ts
+++ b/packages/dispatch/src/poolLog.ts
@@ -6,7 +6,7 @@
 import type { Run, RunOutcome } from "./RunTable";
 import type { WorkerSession } from "./WorkerSession";
 
-interface PoolLog {
+export interface PoolLog {
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -51,8 +51,11 @@
     /** Names the connection; a home that came back has another. */
     readonly key: string;
     readonly answer: (answer: JobAnswer) => void;
-    /** Told before tasks of the job are handed to another zone. */
-    readonly noteAway: () => void;
+    /**
+     * Asked before tasks of the job are handed to another zone. True when the home has taken note at once; otherwise
+     * `Pool.noteAwayKnown` tells when it has, and nothing is handed over before.
+     */
+    readonly noteAway: () => boolean;
     /** Told when no task of the job is in another zone any more. */
     readonly noteBack: () => void;
 }
--- a/packages/dispatch/tests/JobDesk.test.ts
+++ b/packages/dispatch/tests/JobDesk.test.ts
@@ -77,6 +77,15 @@
         expect(world.submitted.slice(2).map(request => request.mayRunElsewhere)).toEqual([true, false]);
     });
 
+    test("only the owner that has the job may hand tasks of it to another zone", () => {
+        const world = new DeskWorld();
+        world.accept("a");
+        expect(world.desk.noteElsewhere("owner-1", toJobId("a"), true)).toBe(true);
+        world.ownerId = "owner-2";
+        world.desk.noteOwnerChange();
+        expect(world.desk.noteElsewhere("owner-1", toJobId("a"), true)).toBe(false);
+    });
+
     test("without an owner a job is refused as not run", async () => {
         const world = new DeskWorld();
         world.ownerId = undefined;
--- a/packages/dispatch/tests/poolWorld.ts
+++ b/packages/dispatch/tests/poolWorld.ts
@@ -26,6 +26,7 @@
     readonly answers = new Map<string, JobAnswer>();
     readonly awayJobs: string[] = [];
     readonly backJobs: string[] = [];
+    homesKnowAtOnce = true;
     remotePools: readonly RemotePool[] = [];
     /** Tasks that ran twice at the same time. */
     readonly doubleRuns: TaskName[] = [];
@@ -91,7 +92,7 @@
         return {
             key,
             answer: answer => this.answers.set(id, answer),
-            noteAway: () => this.awayJobs.push(id),
+            noteAway: () => this.awayJobs.push(id) > 0 && this.homesKnowAtOnce,
             noteBack: () => this.backJobs.push(id),
         };
     }
--- a/packages/dispatch/tests/spilling.test.ts
+++ b/packages/dispatch/tests/spilling.test.ts
@@ -32,6 +32,36 @@
         expect(world.answers.get("a")).toEqual({ kind: "completed" });
     });
 
+    test("nothing is handed over before the home knows of it", async () => {
+        const world = new PoolWorld(1);
+        world.homesKnowAtOnce = false;
+        const pool = world.newPool(1);
+        await world.time.advance(20);
+        const { sent } = newRemote(world, { desk: [16_000] });
+        const request = world.newJob("a", { tasks: 4, runMs: 1_000, objectiveMs: 4_000 });
+        world.submit(pool, request);
+        await world.time.advance(200);
+        expect([sent.length, world.awayJobs]).toEqual([0, ["a"]]);
+        pool.noteAwayKnown(request.id, "another home");
+        await world.time.advance(50);
+        expect(sent).toHaveLength(0);
+        pool.noteAwayKnown(request.id, "home");
+        await world.time.advance(50);
+        expect(sent).toHaveLength(1);
+    });
+
+    test("the next home of a job is told that tasks are elsewhere", async () => {
+        const world = new PoolWorld(1);
+        const pool = world.newPool(1);
+        await world.time.advance(20);
+        newRemote(world, { desk: [16_000] });
+        const request = world.newJob("a", { tasks: 4, runMs: 1_000, objectiveMs: 4_000 });
+        world.submit(pool, request);
+        await world.time.advance(50);
+        world.submit(pool, request, "home-2");
+        expect(world.awayJobs).toEqual(["a", "a"]);
+    });
+
     test("refused tasks wait here again", async () => {
         const world = new PoolWorld(1);
         const pool = world.newPool(1);
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -26,6 +26,7 @@
         message: Extract<ToPeer, { type: "submit"; }>,
         reply: (message: FromPeer) => void,
     ) => void;
+    readonly onAwayKnown: (home: string, message: Extract<ToPeer, { type: "away-known"; }>) => void;
     readonly onCancel: (home: string, message: Extract<ToPeer, { type: "cancel"; }>) => void;
     readonly onHomeLost: (home: string) => void;
 }
@@ -167,6 +168,9 @@
                     case "submit":
                         this.options.onSubmit(home, message, send);
                         return;
+                    case "away-known":
+                        this.options.onAwayKnown(home, message);
+                        return;
                     case "cancel":
                         this.options.onCancel(home, message);
                 }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -48,12 +48,14 @@
     /** Opens a connection between the owners of two zones. */
     | { readonly type: "zone-owner"; readonly id: string; readonly zone: string; }
     | { readonly type: "submit"; readonly request: JobRequest; }
+    /** The home knows that tasks of its job may go to other zones. */
+    | { readonly type: "away-known"; readonly id: JobId; }
     | { readonly type: "cancel"; readonly id: JobId; };
 
 /** Back to the entry that made the connection. */
 export type FromPeer =
     | { readonly type: "answer"; readonly id: JobId; readonly answer: JobAnswer; }
-    /** Tasks of the job are about to be handed to another zone. */
+    /** Tasks of the job are to be handed to another zone, once the home has answered that it knows. */
     | { readonly type: "away"; readonly id: JobId; }
     /** No task of the job is in another zone any more. */
     | { readonly type: "back"; readonly id: JobId; }
