A control instance that was never heard does not become a voter

Ruled out: a lost vote or log (two of three voters were alive and agreed until that change). Change: a learner becomes a voter only when it is heard, has stored something and is within the lag; learners that stay silent are dropped. Test: an announced instance that is never heard stays out.

--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -29,7 +29,7 @@
 import type { Logger } from "@anvilmux/telemetry";
 import type { ConsensusClient } from "@anvilmux/transport";
 import { create } from "@bufbuild/protobuf";
-import { proposalTimeoutMs } from "./constants";
+import { promotionLagEntries, proposalTimeoutMs } from "./constants";
 import { ControlError } from "./errors";
 import { getNextRepair } from "./groupRepair";
 import type { AnnouncedReplica } from "./groupRepair";
@@ -254,7 +254,15 @@
             members: replica.group.members,
             announced: this.options.getAnnouncedReplicas(),
             getSilence: memberId => now - (this.heardAt.get(memberId) ?? this.leadingSince),
+            isCaughtUp: memberId => this.isCaughtUp(memberId),
             getDropAge: memberId => now - (this.droppedAt.get(memberId) ?? -Infinity),
         });
     }
+
+    private isCaughtUp(memberId: string): boolean {
+        const { replica } = this.options;
+        const progress = replica.getProgress().find(member => member.memberId === memberId);
+        return progress !== undefined && progress.reachable && progress.matchIndex > 0n
+            && progress.matchIndex + BigInt(promotionLagEntries) >= replica.commitIndex;
+    }
 }
--- a/packages/control/src/Leadership.ts
+++ b/packages/control/src/Leadership.ts
@@ -214,8 +214,10 @@
     }
 
     private requireCaughtUp(memberId: string): void {
-        const lag = this.host.replicaLog.commitIndex - (this.followers.get(memberId)?.matchIndex ?? 0n);
-        if (lag > BigInt(promotionLagEntries)) {
+        const matchIndex = this.followers.get(memberId)?.matchIndex ?? 0n;
+        const lag = this.host.replicaLog.commitIndex - matchIndex;
+        // A learner that was never heard is not close behind a short log either.
+        if (matchIndex === 0n || lag > BigInt(promotionLagEntries)) {
             throw new ControlError("not-caught-up", `"${memberId}" lacks ${lag} entries`);
         }
     }
--- a/packages/control/src/groupRepair.ts
+++ b/packages/control/src/groupRepair.ts
@@ -19,6 +19,8 @@
     readonly announced: readonly AnnouncedReplica[];
     /** How long the leader has not heard a member; 0 while it does. */
     readonly getSilence: (memberId: string) => Milliseconds;
+    /** True for a member that is heard and has nearly everything that is committed. */
+    readonly isCaughtUp: (memberId: string) => boolean;
     /** Time since the leader dropped a member; infinite when it did not. */
     readonly getDropAge: (memberId: string) => Milliseconds;
 }
@@ -36,36 +38,40 @@
 
 /** Undefined when the group is as it should be. */
 export const getNextRepair = (input: RepairInput): MembershipChange | undefined =>
-    replaceFormerLife(input) ?? admitNewcomer(input) ?? dropGoneVoter(input);
+    dropGoneLearner(input) ?? replaceFormerLife(input) ?? admitNewcomer(input) ?? dropGoneVoter(input);
 
 const isOtherLife = (member: GroupMember, announced: AnnouncedReplica): boolean =>
     member.memberId !== announced.memberId
     && getInstanceOfMember(member.memberId) === getInstanceOfMember(announced.memberId);
 
 /** Adds the new life as a learner, promotes it, and removes the old life. */
-const replaceFormerLife = ({ members, announced }: RepairInput): MembershipChange | undefined => {
+const replaceFormerLife = (input: RepairInput): MembershipChange | undefined => {
+    const { members, announced } = input;
     for (const replica of announced) {
         const former = members.find(member => isOtherLife(member, replica));
         const present = members.find(member => member.memberId === replica.memberId);
-        if (former && !present) {
+        if (former && !present && mayJoin(replica, input)) {
             return addLearner(replica);
         }
-        if (former && present) {
-            const change = present.voter ? { remove: former.memberId } : { promote: present.memberId };
-            return create(MembershipChangeSchema, change);
+        if (former && present?.voter) {
+            return remove(former);
+        }
+        if (former && present && input.isCaughtUp(present.memberId)) {
+            return promote(present);
         }
     }
     return undefined;
 };
 
-const admitNewcomer = ({ members, announced, getDropAge }: RepairInput): MembershipChange | undefined => {
+const admitNewcomer = (input: RepairInput): MembershipChange | undefined => {
+    const { members, announced } = input;
     for (const replica of announced) {
         const present = members.find(member => member.memberId === replica.memberId);
-        if (!present && members.length < maximumVoters && getDropAge(replica.memberId) > readmitAfterMs) {
+        if (!present && members.length < maximumVoters && mayJoin(replica, input)) {
             return addLearner(replica);
         }
-        if (present && !present.voter) {
-            return create(MembershipChangeSchema, { promote: present.memberId });
+        if (present && !present.voter && input.isCaughtUp(present.memberId)) {
+            return promote(present);
         }
     }
     return undefined;
@@ -74,8 +80,20 @@
 const dropGoneVoter = ({ members, getSilence }: RepairInput): MembershipChange | undefined => {
     const voters = members.filter(member => member.voter);
     const gone = voters.find(member => getSilence(member.memberId) > goneAfterMs);
-    return gone && voters.length > leastVoters ? create(MembershipChangeSchema, { remove: gone.memberId }) : undefined;
+    return gone && voters.length > leastVoters ? remove(gone) : undefined;
+};
+
+const dropGoneLearner = ({ members, getSilence }: RepairInput): MembershipChange | undefined => {
+    const gone = members.find(member => !member.voter && getSilence(member.memberId) > goneAfterMs);
+    return gone ? remove(gone) : undefined;
 };
 
+const mayJoin = (replica: AnnouncedReplica, { getDropAge }: RepairInput): boolean =>
+    getDropAge(replica.memberId) > readmitAfterMs;
+
+const promote = (member: GroupMember): MembershipChange => create(MembershipChangeSchema, { promote: member.memberId });
+
+const remove = (member: GroupMember): MembershipChange => create(MembershipChangeSchema, { remove: member.memberId });
+
 const addLearner = (replica: AnnouncedReplica): MembershipChange =>
     create(MembershipChangeSchema, { addLearner: create(GroupMemberSchema, { ...replica, voter: false }) });
--- a/packages/control/tests/groupRepair.test.ts
+++ b/packages/control/tests/groupRepair.test.ts
@@ -28,6 +28,7 @@
             members: current.members,
             announced,
             getSilence: memberId => silent.includes(memberId) ? goneAfterMs + 1 : 0,
+            isCaughtUp: memberId => !silent.includes(memberId),
             getDropAge: memberId => dropped.has(memberId) ? 0 : Infinity,
         });
         if (!change) {
@@ -59,6 +60,12 @@
         expect(repairAll(newGroup("a~1", "b~1", "c~1", "d~1"), announced, ["c~1"])).toEqual(["a~1", "b~1", "d~1"]);
     });
 
+    test("an instance that is announced but not heard never becomes a voter", () => {
+        const announced = announce("a~1", "b~1", "c~1", "gone~1");
+        const group = newGroup("a~1", "b~1", "c~1");
+        expect(repairAll(group, announced, ["gone~1"])).toEqual(["a~1", "b~1", "c~1"]);
+    });
+
     test("without a successor a silent voter stays, so that it can come back", () => {
         const announced = announce("a~1", "b~1");
         expect(repairAll(newGroup("a~1", "b~1", "c~1"), announced, ["c~1"])).toEqual(["a~1", "b~1", "c~1"]);
