--- /dev/null
+++ b/packages/fleet/tests/ControlHub.test.ts
@@ -0,0 +1,140 @@
+/** Control's side of an entry's connections: members, owners, workers and configurations. */
+
+import { toAddress, toZoneId } from "@anvilmux/common";
+import type { Address } from "@anvilmux/common";
+import { toWorkerId } from "@anvilmux/dispatch";
+import type { WorkerAnnouncement } from "@anvilmux/dispatch";
+import { ControlHub, ControlLinks } from "@anvilmux/fleet";
+import type { EntryMember, ZoneOwner } from "@anvilmux/fleet";
+import { Metrics } from "@anvilmux/telemetry";
+import { findFreePort, newChecker, newEnvironment, newMember, toLoopback, waitFor } from "./loopback";
+
+const cleanups: (() => void)[] = [];
+afterEach(() => cleanups.splice(0).reverse().forEach(cleanup => cleanup()));
+
+class HubWorld {
+    index = 3;
+    addresses: readonly Address[] = [];
+    readonly hub: ControlHub;
+
+    constructor(readonly port: number) {
+        const environment = newEnvironment();
+        const checker = newChecker(environment);
+        this.hub = new ControlHub({
+            host: "127.0.0.1",
+            port,
+            checker,
+            environment,
+            metrics: new Metrics(),
+            configuration: { getIndex: () => this.index, getEnvelope: () => `configuration ${this.index}` },
+            getControlAddresses: () => this.addresses,
+        });
+        cleanups.push(() => checker.stop(), () => this.hub.stop());
+    }
+}
+
+class EntryWorld {
+    members: readonly EntryMember[] = [];
+    owners: readonly ZoneOwner[] = [];
+    readonly workers: WorkerAnnouncement[] = [];
+    readonly configurations: string[] = [];
+    configurationIndex = 0;
+    claim = 0;
+    readonly links: ControlLinks;
+
+    constructor(id: string, zone: string, seeds: readonly Address[]) {
+        const environment = newEnvironment();
+        const checker = newChecker(environment);
+        this.links = new ControlLinks({
+            self: newMember(id, zone, 1),
+            seeds,
+            checker,
+            environment,
+            getConfigurationIndex: () => this.configurationIndex,
+            onMembers: members => this.members = members,
+            getClaim: () => this.claim,
+            onOwners: owners => this.owners = owners,
+            onWorkers: workers => this.workers.push(...workers),
+            onConfiguration: (index, envelope) => {
+                this.configurationIndex = index;
+                this.configurations.push(envelope);
+            },
+        });
+        cleanups.push(() => checker.stop(), () => this.links.stop());
+    }
+}
+
+const startHub = async (): Promise<HubWorld> => {
+    const world = new HubWorld(await findFreePort());
+    await world.hub.start();
+    return world;
+};
+
+const newWorker = (zone: string): WorkerAnnouncement => ({
+    id: toWorkerId(`worker-${zone}`),
+    incarnation: 1,
+    sequence: 1,
+    service: "s",
+    address: toAddress("127.0.0.1:9"),
+    zone: toZoneId(zone),
+    state: "ready",
+    room: { millicores: 1_000, memoryMebibytes: 100, accelerators: 0 },
+});
+
+describe("control and entries", () => {
+    test("an entry learns the others of its zone, and only its zone's workers", async () => {
+        const { hub, port } = await startHub();
+        hub.noteWorker(newWorker("z1"));
+        const first = new EntryWorld("a", "z1", [toLoopback(port)]);
+        const second = new EntryWorld("b", "z1", [toLoopback(port)]);
+        const other = new EntryWorld("c", "z2", [toLoopback(port)]);
+        await waitFor(() => first.members.length === 2 && second.members.length === 2 && other.members.length === 1);
+        hub.noteWorker(newWorker("z2"));
+        await waitFor(() => other.workers.length === 1 && first.workers.length === 1);
+        expect(first.workers.map(worker => worker.id)).toEqual(["worker-z1"]);
+        expect(first.links.areMembersTold).toBe(true);
+        second.links.stop();
+        await waitFor(() => first.members.length === 1);
+    }, 30_000);
+
+    test("claims of all zones are told to every entry, and end with the connection", async () => {
+        const { port } = await startHub();
+        const first = new EntryWorld("a", "z1", [toLoopback(port)]);
+        const second = new EntryWorld("b", "z2", [toLoopback(port)]);
+        await waitFor(() => first.members.length === 1 && second.members.length === 1);
+        first.claim = 42;
+        first.links.tellClaim();
+        await waitFor(() => second.owners.some(owner => owner.claim === 42));
+        first.links.stop();
+        await waitFor(() => second.owners.length === 0);
+    }, 30_000);
+
+    test("a newer configuration is fetched from whichever control instance has it", async () => {
+        const [one, two] = [await startHub(), await startHub()];
+        const entry = new EntryWorld("a", "z1", [toLoopback(one.port), toLoopback(two.port)]);
+        await waitFor(() => entry.configurationIndex === 3 && entry.links.openCount === 2);
+        [one, two].forEach(world => {
+            world.index = 4;
+            world.hub.announceConfiguration();
+        });
+        await waitFor(() => entry.configurationIndex === 4);
+        // A slow answer is asked for a second time elsewhere.
+        expect([...new Set(entry.configurations)]).toEqual(["configuration 3", "configuration 4"]);
+    }, 30_000);
+
+    test(
+        "an entry connects to control instances it is told of, and is without members while none is heard",
+        async () => {
+            const [one, two] = [await startHub(), await startHub()];
+            const entry = new EntryWorld("a", "z1", [toLoopback(one.port)]);
+            await waitFor(() => entry.links.areMembersTold);
+            one.addresses = [toLoopback(one.port), toLoopback(two.port)];
+            await waitFor(() => two.hub.entryCount === 1 && entry.links.openCount === 2);
+            one.hub.stop();
+            two.hub.stop();
+            await waitFor(() => entry.links.openCount === 0);
+            expect(entry.links.areMembersTold).toBe(false);
+        },
+        30_000,
+    );
+});
