A learner's silence counts from the time it joined

Cause: found on reading: a leader that had led for longer than 3.5 s took a learner it had just added for silent all that time, unless its first answer came within half a second; it was dropped and kept out for 15 s. Change: what a leader remembers of members is a class of its own, in which a learner counts as heard when it joins.

--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -4,7 +4,7 @@
  */
 
 import { getErrorMessage, sleep } from "@anvilmux/common";
-import type { Address, Clock, Milliseconds, Timers } from "@anvilmux/common";
+import type { Address, Clock, Timers } from "@anvilmux/common";
 import type { ManifestAuthority } from "@anvilmux/manifest";
 import type {
     Command,
@@ -33,6 +33,7 @@
 import { ControlError } from "./errors";
 import { getNextRepair } from "./groupRepair";
 import type { AnnouncedReplica } from "./groupRepair";
+import { MemberHistory } from "./MemberHistory";
 import type { Replica } from "./Replica";
 
 export interface ControlServiceOptions {
@@ -54,13 +55,11 @@
 
 export class ControlService {
     private stopped = false;
-    /** When this leader last heard each member. */
-    private readonly heardAt = new Map<string, Milliseconds>();
-    private leadingSince: Milliseconds = 0;
-    /** When this leader dropped members. */
-    private readonly droppedAt = new Map<string, Milliseconds>();
+    private readonly history: MemberHistory;
 
-    constructor(private readonly options: ControlServiceOptions) {}
+    constructor(private readonly options: ControlServiceOptions) {
+        this.history = new MemberHistory(options.clock);
+    }
 
     start(): void {
         this.options.replica.start();
@@ -222,15 +221,12 @@
         while (!this.stopped) {
             await sleep(timers, repairPeriodMs);
             if (replica.role !== "leader") {
-                this.heardAt.clear();
-                this.leadingSince = this.options.clock.now();
+                this.history.noteNotLeading();
                 continue;
             }
             const change = this.getRepair();
             if (change) {
-                if (change.remove !== "") {
-                    this.droppedAt.set(change.remove, this.options.clock.now());
-                }
+                this.history.noteChange(change);
                 const result = await replica.changeGroup(change).catch(error => getErrorMessage(error));
                 logger.info("control group repair", {
                     addLearner: change.addLearner?.memberId,
@@ -243,19 +239,18 @@
     }
 
     private getRepair(): MembershipChange | undefined {
-        const { replica, clock } = this.options;
-        const now = clock.now();
+        const { replica } = this.options;
         for (const progress of replica.getProgress()) {
             if (progress.reachable) {
-                this.heardAt.set(progress.memberId, now);
+                this.history.noteHeard(progress.memberId);
             }
         }
         return getNextRepair({
             members: replica.group.members,
             announced: this.options.getAnnouncedReplicas(),
-            getSilence: memberId => now - (this.heardAt.get(memberId) ?? this.leadingSince),
+            getSilence: memberId => this.history.getSilence(memberId),
             isCaughtUp: memberId => this.isCaughtUp(memberId),
-            getDropAge: memberId => now - (this.droppedAt.get(memberId) ?? -Infinity),
+            getDropAge: memberId => this.history.getDropAge(memberId),
         });
     }
 
