A refused start names the token it was ordered with

Cause: found on reading: a start refused by its token was counted against the token of now, so that a late refusal made an owner raise its token a second time. Change: the order's own token is reported. A test fails without the change.

--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -103,8 +103,9 @@
         this.runs.add(record);
         this.time.noteGrant(record.orderedAt, startValidityMs);
         this.options.metrics.count("anvilmux_start_orders_total");
-        const order = { task, run, payload, fence: this.options.getFence(), deadline: startDeadline };
-        void this.options.driver.start(order).then(answer => this.noteStart(record, answer));
+        const fence = this.options.getFence();
+        const order = { task, run, payload, fence, deadline: startDeadline };
+        void this.options.driver.start(order).then(answer => this.noteStart(record, fence, answer));
     }
 
     /** Orders a stop; repeated until the worker lists the end. */
@@ -138,7 +139,7 @@
         void this.options.driver.stop(run.task, run.run, this.options.getFence());
     }
 
-    private noteStart(run: Run, answer: StartAnswer): void {
+    private noteStart(run: Run, fence: number, answer: StartAnswer): void {
         if (this.closed || this.runs.get(run.task) !== run) {
             return;
         }
@@ -154,7 +155,7 @@
                     // A start refused as late shows how far the estimate is off.
                     this.time.noteClock(answer.clock);
                 }
-                this.noteRefusal(run, answer.reason);
+                this.noteRefusal(run, fence, answer.reason);
                 return;
             case "gone":
                 this.end(run, "never-started");
@@ -199,7 +200,7 @@
         }
     }
 
-    private noteRefusal(run: Run, reason: string): void {
+    private noteRefusal(run: Run, fence: number, reason: string): void {
         this.options.metrics.count("anvilmux_start_refusals_total", { reason });
         this.options.logger.info("start refused by the worker", {
             worker: this.id,
@@ -211,7 +212,7 @@
         if (reason === "fence") {
             this.pause(firstRetryPauseMs);
             this.end(run, "refused");
-            this.options.onFenced(this.options.getFence());
+            this.options.onFenced(fence);
             return;
         }
         if (reason === "unhealthy") {
--- a/packages/dispatch/tests/Pool.test.ts
+++ b/packages/dispatch/tests/Pool.test.ts
@@ -262,6 +262,22 @@
         expect(world.fencedTokens).toContain(1);
     });
 
+    test("a refusal names the token of its order, also when the owner has raised it since", async () => {
+        const world = new PoolWorld(1);
+        let fence = 1;
+        const first = world.newPool(1, () => fence);
+        await world.time.advance(20);
+        world.newPool(2);
+        await world.time.advance(20);
+        world.workers[0]!.startTravelMs = 30;
+        world.submit(first, world.newJob("a"));
+        await world.time.advance(10);
+        fence = 3;
+        await world.time.advance(60);
+        expect(world.fencedTokens).toContain(1);
+        expect(world.fencedTokens).not.toContain(3);
+    });
+
     test("an owner that raises its token finds what another started in between", async () => {
         const world = new PoolWorld(2);
         let fence = 1;
