One piece of code where the platform and the product had two

Change: documents.ts in manifest, safeParseJson and splitAddress in common, isCaughtUp in group.ts, options derived, one list of pools for a spill, the dead state gone.

--- a/packages/anvilmux/src/ZoneView.ts
+++ b/packages/anvilmux/src/ZoneView.ts
@@ -1,11 +1,11 @@
 /** Questions about the deployment that several services ask, answered from membership. */
 
-import { pickByRendezvous, toAddress } from "@anvilmux/common";
+import { pickByRendezvous, safeParseJson, toAddress } from "@anvilmux/common";
 import type { Address, Random } from "@anvilmux/common";
 import type { AnnouncedReplica, ConfigurationPeer } from "@anvilmux/control";
 import type { WorkerOwner } from "@anvilmux/jobs";
 import type { LeaseRegistry, Member, Membership, WorkerAnnouncement } from "@anvilmux/membership";
-import { loadRecordSchema, safeParseJson } from "@anvilmux/membership";
+import { loadRecordSchema } from "@anvilmux/membership";
 import type { StewardAddress } from "@anvilmux/routing";
 import * as z from "zod";
 
--- a/packages/anvilmux/src/http/body.ts
+++ b/packages/anvilmux/src/http/body.ts
@@ -1,6 +1,6 @@
 /** Reading request bodies with a bound on their size and on all bytes held at once. */
 
-import { AnvilmuxError } from "@anvilmux/common";
+import { AnvilmuxError, safeParseJson } from "@anvilmux/common";
 import { maximumQueuedBytes } from "@anvilmux/routing";
 import type { IncomingMessage } from "node:http";
 
@@ -55,11 +55,4 @@
 }
 
 /** Parses a JSON body; undefined when it is malformed. */
-export const parseJsonBody = (body: Buffer): unknown => {
-    try {
-        return JSON.parse(body.toString("utf8"));
-    }
-    catch {
-        return undefined;
-    }
-};
+export const parseJsonBody = (body: Buffer): unknown => safeParseJson(body.toString("utf8"));
--- a/packages/anvilmux/src/roles/ControlInstance.ts
+++ b/packages/anvilmux/src/roles/ControlInstance.ts
@@ -1,6 +1,6 @@
 /** An instance that only keeps control state: a replica of the control group and the hub that entries connect to. */
 
-import { toAddress } from "@anvilmux/common";
+import { splitAddress, toAddress } from "@anvilmux/common";
 import type { Address, Milliseconds } from "@anvilmux/common";
 import { ControlError } from "@anvilmux/control";
 import type { WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
@@ -137,7 +137,7 @@
     private getLinkAddresses(): readonly Address[] {
         const group = this.kernel.get(controlToken).replica.group.members.map(member => toAddress(member.address));
         const known = new Set([...group, ...this.kernel.get(zoneViewToken).getControlAddresses()]);
-        return [...known].map(address => toAddress(replacePort(address, this.options.linkPort)));
+        return [...known].map(address => toAddress(`${splitAddress(address).host}:${this.options.linkPort}`));
     }
 
     /** Undefined when the group did not answer in time. */
@@ -149,5 +149,3 @@
         });
     }
 }
-
-const replacePort = (address: Address, port: number): string => `${address.slice(0, address.lastIndexOf(":"))}:${port}`;
--- a/packages/common/src/ids.ts
+++ b/packages/common/src/ids.ts
@@ -8,3 +8,9 @@
 export const toGrantId = (text: string): GrantId => text as GrantId;
 export const toMemberId = (text: string): MemberId => text as MemberId;
 export const toAddress = (text: string): Address => text as Address;
+
+/** Host and port of an address; the port stands behind the last colon. */
+export const splitAddress = (address: Address): { readonly host: string; readonly port: number; } => {
+    const separator = address.lastIndexOf(":");
+    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+};
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./Mutex";
 export * from "./Random";
 export * from "./rendezvous";
+export * from "./safeParseJson";
 export * from "./Signal";
 export * from "./Timers";
 export * from "./types";
--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -29,8 +29,9 @@
 import type { Logger } from "@anvilmux/telemetry";
 import type { ConsensusClient } from "@anvilmux/transport";
 import { create } from "@bufbuild/protobuf";
-import { promotionLagEntries, proposalTimeoutMs } from "./constants";
+import { proposalTimeoutMs } from "./constants";
 import { ControlError } from "./errors";
+import { isCaughtUp } from "./group";
 import { getNextRepair } from "./groupRepair";
 import type { AnnouncedReplica } from "./groupRepair";
 import { MemberHistory } from "./MemberHistory";
@@ -240,24 +241,17 @@
 
     private getRepair(): MembershipChange | undefined {
         const { replica } = this.options;
-        for (const progress of replica.getProgress()) {
-            if (progress.reachable) {
-                this.history.noteHeard(progress.memberId);
-            }
-        }
+        const heard = replica.getProgress().filter(progress => progress.reachable);
+        heard.forEach(progress => this.history.noteHeard(progress.memberId));
+        const caughtUp = heard
+            .filter(progress => isCaughtUp(progress.matchIndex, replica.commitIndex))
+            .map(progress => progress.memberId);
         return getNextRepair({
             members: replica.group.members,
             announced: this.options.getAnnouncedReplicas(),
             getSilence: memberId => this.history.getSilence(memberId),
-            isCaughtUp: memberId => this.isCaughtUp(memberId),
+            isCaughtUp: memberId => caughtUp.includes(memberId),
             getDropAge: memberId => this.history.getDropAge(memberId),
         });
     }
-
-    private isCaughtUp(memberId: string): boolean {
-        const { replica } = this.options;
-        const progress = replica.getProgress().find(member => member.memberId === memberId);
-        return progress !== undefined && progress.reachable && progress.matchIndex > 0n
-            && progress.matchIndex + BigInt(promotionLagEntries) >= replica.commitIndex;
-    }
 }
--- a/packages/control/src/Leadership.ts
+++ b/packages/control/src/Leadership.ts
@@ -28,11 +28,10 @@
     heartbeatPeriodMs,
     maximumAppendBytes,
     maximumPendingProposals,
-    promotionLagEntries,
     snapshotChunkBytes,
 } from "./constants";
 import { ControlError } from "./errors";
-import { changeGroup, getQuorumIndex, isQuorum, isVoter } from "./group";
+import { changeGroup, getQuorumIndex, isCaughtUp, isQuorum, isVoter } from "./group";
 import type { ReplicaLog } from "./ReplicaLog";
 import type { ReplicaStorage } from "./ReplicaStorage";
 import type { ReplicaEnvironment } from "./types";
@@ -215,10 +214,9 @@
 
     private requireCaughtUp(memberId: string): void {
         const matchIndex = this.followers.get(memberId)?.matchIndex ?? 0n;
-        const lag = this.host.replicaLog.commitIndex - matchIndex;
-        // A learner that was never heard is not close behind a short log either.
-        if (matchIndex === 0n || lag > BigInt(promotionLagEntries)) {
-            throw new ControlError("not-caught-up", `"${memberId}" lacks ${lag} entries`);
+        const { commitIndex } = this.host.replicaLog;
+        if (!isCaughtUp(matchIndex, commitIndex)) {
+            throw new ControlError("not-caught-up", `"${memberId}" lacks ${commitIndex - matchIndex} entries`);
         }
     }
 
--- a/packages/control/src/group.ts
+++ b/packages/control/src/group.ts
@@ -3,8 +3,13 @@
 import type { GroupConfiguration, GroupMember, MembershipChange } from "@anvilmux/protocol";
 import { GroupConfigurationSchema, GroupMemberSchema } from "@anvilmux/protocol";
 import { create } from "@bufbuild/protobuf";
+import { promotionLagEntries } from "./constants";
 import { ControlError } from "./errors";
 
+/** True when a member has stored something and nearly everything that is committed. */
+export const isCaughtUp = (matchIndex: bigint, commitIndex: bigint): boolean =>
+    matchIndex > 0n && commitIndex - matchIndex <= BigInt(promotionLagEntries);
+
 export const getVoters = (group: GroupConfiguration): readonly GroupMember[] =>
     group.members.filter(member => member.voter);
 
--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -3,24 +3,19 @@
  * certainly gone. Lists may overtake each other.
  */
 
-import type { Clock, Milliseconds } from "@anvilmux/common";
-import type { Logger } from "@anvilmux/telemetry";
+import type { Milliseconds } from "@anvilmux/common";
 import { maximumListedEnds } from "./constants";
 import { newRun } from "./RunTable";
-import type { Run, RunOutcome, RunTable } from "./RunTable";
+import type { Run, RunTable } from "./RunTable";
 import type { TaskName, WorkerId, WorkerList } from "./types";
+import type { WorkerSessionOptions } from "./workerSessionOptions";
 import type { WorkerTime } from "./WorkerTime";
 
-export interface ListReaderOptions {
+export interface ListReaderOptions
+    extends Pick<WorkerSessionOptions, "clock" | "logger" | "onEnd" | "onFound" | "onStandstill"> {
     readonly worker: WorkerId;
     readonly runs: RunTable;
     readonly time: WorkerTime;
-    readonly clock: Clock;
-    readonly logger: Logger;
-    readonly onEnd: (run: Run, outcome: RunOutcome) => void;
-    /** Called for a run that an earlier owner started. */
-    readonly onFound: (run: Run) => void;
-    readonly onStandstill: (run: Run, percent: number) => void;
 }
 
 /** What a list brought: nothing because a newer one came before it, ends of runs, or no end. */
--- a/packages/dispatch/src/TaskSpiller.ts
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -4,6 +4,7 @@
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { PoolJob, PoolTask, TaskEvents } from "./PoolJob";
 import { chooseSpill } from "./spill";
+import type { SpillChoice } from "./spill";
 import type { JobAnswer, RemotePool } from "./types";
 
 export interface TaskSpillerOptions {
@@ -19,30 +20,13 @@
 
     /** Hands over as many of the waiting tasks as other zones have room for, once the home knows of it. */
     spill(job: PoolJob, waiting: readonly PoolTask[]): void {
-        if (job.awayKnown === "no" && this.findRoom(job, waiting)) {
+        const remotes = this.options.getRemotePools().filter(remote => !job.away.has(remote.zone));
+        const isRoom = () => remotes.some(remote => chooseFor(remote, job, waiting).tasks.length > 0);
+        if (job.awayKnown === "no" && isRoom()) {
             job.awayKnown = job.home.noteAway() ? "yes" : "asked";
         }
         if (job.awayKnown === "yes") {
-            this.handOverAll(job, waiting);
-        }
-    }
-
-    private findRoom(job: PoolJob, waiting: readonly PoolTask[]): boolean {
-        return this.options.getRemotePools().some(remote =>
-            !job.away.has(remote.zone) && chooseSpill(waiting, remote.free[job.request.service] ?? []).tasks.length > 0
-        );
-    }
-
-    private handOverAll(job: PoolJob, waiting: readonly PoolTask[]): void {
-        let rest = waiting;
-        for (const remote of this.options.getRemotePools()) {
-            if (rest.length === 0) {
-                return;
-            }
-            if (!job.away.has(remote.zone)) {
-                this.handOver(job, rest, remote);
-                rest = rest.filter(task => task.state === "waiting");
-            }
+            remotes.forEach(remote => this.handOver(job, waiting.filter(task => task.state === "waiting"), remote));
         }
     }
 
@@ -97,7 +81,7 @@
 
     private handOver(job: PoolJob, waiting: readonly PoolTask[], remote: RemotePool): void {
         const { service, id } = job.request;
-        const { tasks, left } = chooseSpill(waiting, remote.free[service] ?? []);
+        const { tasks, left } = chooseFor(remote, job, waiting);
         if (tasks.length === 0) {
             return;
         }
@@ -131,3 +115,6 @@
         });
     }
 }
+
+const chooseFor = (remote: RemotePool, job: PoolJob, waiting: readonly PoolTask[]): SpillChoice =>
+    chooseSpill(waiting, remote.free[job.request.service] ?? []);
--- a/packages/links/src/ChannelChecker.ts
+++ b/packages/links/src/ChannelChecker.ts
@@ -12,7 +12,6 @@
 export class ChannelChecker {
     private readonly channels = new Set<CheckedChannel>();
     private lastLook: Milliseconds;
-    private stalledUntil: Milliseconds = 0;
     private readonly unsubscribe: Unsubscribe;
 
     constructor(
@@ -28,11 +27,6 @@
         this.channels.add(channel);
     }
 
-    /** End of the last stall of this process on its own clock; 0 when there was none. */
-    get lastStallEnd(): Milliseconds {
-        return this.stalledUntil;
-    }
-
     stop(): void {
         this.unsubscribe();
     }
@@ -42,7 +36,6 @@
         const stall = now - this.lastLook - checkPeriodMs;
         this.lastLook = now;
         if (stall > ownStallMs) {
-            this.stalledUntil = now;
             this.channels.forEach(channel => channel.excuseSilence());
             this.onStall(stall);
         }
--- a/packages/links/src/Link.ts
+++ b/packages/links/src/Link.ts
@@ -1,5 +1,6 @@
 /** The calling end of a held connection: connects, and connects again whenever the connection is lost. */
 
+import { splitAddress } from "@anvilmux/common";
 import type { Address, Milliseconds, Unsubscribe } from "@anvilmux/common";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
@@ -95,8 +96,3 @@
         this.pause = Math.min(longestReconnectPauseMs, this.pause * 2);
     }
 }
-
-const splitAddress = (address: Address): { readonly host: string; readonly port: number; } => {
-    const separator = address.lastIndexOf(":");
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-};
--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -1,6 +1,7 @@
 /** The manifest: the generated, signed release document that operators' pipelines hand over. */
 export * from "./authority";
 export * from "./constants";
+export * from "./documents";
 export * from "./errors";
 export * from "./parseManifest";
 export * from "./schema";
--- a/packages/manifest/src/parseManifest.ts
+++ b/packages/manifest/src/parseManifest.ts
@@ -1,22 +1,12 @@
 /** Reading a manifest: schema first, then references between its parts. */
 
-import { getErrorMessage } from "@anvilmux/common";
-import type { z } from "zod";
 import { maximumManifestBytes } from "./constants";
+import { checkDocument, parseDocument } from "./documents";
 import { ManifestError } from "./errors";
 import type { ManifestFault } from "./errors";
 import { manifestSchema } from "./schema";
 import type { Manifest } from "./schema";
 
-const escapePointerToken = (token: string): string => token.replaceAll("~", "~0").replaceAll("/", "~1");
-
-/** Turns a schema issue's path into a JSON pointer. */
-export const toFaults = (error: z.ZodError): readonly ManifestFault[] =>
-    error.issues.map(issue => ({
-        pointer: issue.path.map(part => `/${escapePointerToken(String(part))}`).join(""),
-        reason: issue.message,
-    }));
-
 const findDuplicates = (pointer: string, items: readonly { readonly name: string; }[]): readonly ManifestFault[] =>
     items.flatMap((item, index) =>
         items.findIndex(other => other.name === item.name) < index
@@ -57,11 +47,7 @@
 
 /** Checks a decoded document. Throws `ManifestError` naming every fault. */
 export const checkManifest = (document: unknown): Manifest => {
-    const result = manifestSchema.safeParse(document);
-    if (!result.success) {
-        throw new ManifestError("invalid-manifest", toFaults(result.error));
-    }
-    const manifest = result.data;
+    const manifest = checkDocument(document, manifestSchema, "invalid-manifest");
     const faults = [
         ...findDuplicates("/services", manifest.services),
         ...manifest.services.flatMap((service, index) => findDuplicates(`/services/${index}/kinds`, service.kinds)),
@@ -83,12 +69,5 @@
             reason: `more than ${maximumManifestBytes} bytes`,
         }]);
     }
-    let document: unknown;
-    try {
-        document = JSON.parse(text);
-    }
-    catch (error) {
-        throw new ManifestError("invalid-json", [{ pointer: "", reason: getErrorMessage(error) }], error);
-    }
-    return checkManifest(document);
+    return checkManifest(parseDocument(text, "invalid-json"));
 };
--- a/packages/manifest/src/signature.ts
+++ b/packages/manifest/src/signature.ts
@@ -1,9 +1,10 @@
 /** Ed25519 signatures over manifests. Several trusted keys may be in force, so that a key can be rotated. */
 
-import { getErrorMessage, getSha256 } from "@anvilmux/common";
+import { getSha256 } from "@anvilmux/common";
 import { createPrivateKey, createPublicKey, generateKeyPairSync, sign, verify } from "node:crypto";
+import { checkDocument, parseDocument } from "./documents";
 import { ManifestError } from "./errors";
-import { parseManifest, toFaults } from "./parseManifest";
+import { parseManifest } from "./parseManifest";
 import { envelopeSchema } from "./schema";
 import type { Envelope, Manifest } from "./schema";
 
@@ -41,20 +42,8 @@
     return JSON.stringify(envelope);
 };
 
-const parseEnvelope = (text: string): Envelope => {
-    let document: unknown;
-    try {
-        document = JSON.parse(text);
-    }
-    catch (error) {
-        throw new ManifestError("invalid-envelope", [{ pointer: "", reason: getErrorMessage(error) }], error);
-    }
-    const result = envelopeSchema.safeParse(document);
-    if (!result.success) {
-        throw new ManifestError("invalid-envelope", toFaults(result.error));
-    }
-    return result.data;
-};
+const parseEnvelope = (text: string): Envelope =>
+    checkDocument(parseDocument(text, "invalid-envelope"), envelopeSchema, "invalid-envelope");
 
 /** Checks an envelope's signature and its manifest. Throws `ManifestError`. */
 export const verifyEnvelope = (text: string, trustedKeys: TrustedKeys): VerifiedManifest => {
--- a/packages/membership/src/LeaseRegistry.ts
+++ b/packages/membership/src/LeaseRegistry.ts
@@ -4,10 +4,10 @@
  * A leave is remembered with its incarnation, so that news that arrives late cannot undo it.
  */
 
+import { safeParseJson } from "@anvilmux/common";
 import type { Clock, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
 import { tombstoneRetentionMs } from "./constants";
 import type { Membership } from "./Membership";
-import { safeParseJson } from "./Membership";
 
 /** The fields every announcement has. */
 export interface Announced {
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -3,7 +3,7 @@
  * the own zone's instances after a local change. Zone-scoped records never leave their zone.
  */
 
-import { getErrorMessage, pickOne, toAddress } from "@anvilmux/common";
+import { getErrorMessage, pickOne, safeParseJson, toAddress } from "@anvilmux/common";
 import type { Address, Clock, Milliseconds, Random, Timers, Unsubscribe } from "@anvilmux/common";
 import type { GossipReply, GossipRequest, MemberDigest, MemberRecord, MemberState } from "@anvilmux/protocol";
 import { GossipReplySchema, GossipRequestSchema } from "@anvilmux/protocol";
@@ -286,13 +286,3 @@
 }
 
 const toTarget = (member: Member): GossipTarget => ({ address: toAddress(member.peerAddress), zone: member.zone });
-
-/** Parses JSON from another instance; undefined when malformed. */
-export const safeParseJson = (text: string): unknown => {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-};
--- a/packages/telemetry/src/explainLogs.ts
+++ b/packages/telemetry/src/explainLogs.ts
@@ -1,5 +1,6 @@
 /** Finds in log lines what was decided for one request, and what its instances believed meanwhile. */
 
+import { safeParseJson } from "@anvilmux/common";
 import * as z from "zod";
 
 const lineSchema = z.object({
@@ -31,14 +32,7 @@
     if (start < 0) {
         return undefined;
     }
-    let document: unknown;
-    try {
-        document = JSON.parse(text.slice(start));
-    }
-    catch {
-        return undefined;
-    }
-    const parsed = lineSchema.safeParse(document);
+    const parsed = lineSchema.safeParse(safeParseJson(text.slice(start)));
     if (!parsed.success) {
         return undefined;
     }
