--- a/anvilmux-daemon/src/Deployment.ts
+++ b/anvilmux-daemon/src/Deployment.ts
@@ -3,10 +3,8 @@
 import { Instance, loadSettings, newSystemEnvironment } from "@anvilmux/anvilmux";
 import type { Environment } from "@anvilmux/anvilmux";
 import { newSigningKeyPair, signManifest } from "@anvilmux/manifest";
-import { Announcer, StandInUpstream, StandInWorker } from "@anvilmux/stand-ins";
+import { Announcer, findFreePorts, StandInUpstream, StandInWorker } from "@anvilmux/stand-ins";
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
@@ -241,18 +239,6 @@
     );
 };
 
-/** Ports that were free a moment ago. */
-export const findFreePorts = async (count: number): Promise<readonly number[]> => {
-    const servers = await Promise.all(Array.from({ length: count }, async () => {
-        const server = createServer();
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-        return server;
-    }));
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-};
-
 /** Waits for a condition; throws with `message` when it does not come true in time. */
 export const waitFor = async (holds: () => boolean, timeoutMs: number, message: string): Promise<void> => {
     const end = performance.now() + timeoutMs;
--- a/bench/src/ProcessDeployment.ts
+++ b/bench/src/ProcessDeployment.ts
@@ -4,14 +4,14 @@
  */
 
 import { newSigningKeyPair, signManifest } from "@anvilmux/manifest";
-import { Announcer, StandInUpstream, StandInWorker } from "@anvilmux/stand-ins";
+import { Announcer, findFreePorts, StandInUpstream, StandInWorker } from "@anvilmux/stand-ins";
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { request } from "undici";
-import { findFreePorts, waitFor } from "../../anvilmux-daemon/src/Deployment";
+import { waitFor } from "../../anvilmux-daemon/src/Deployment";
 
 export interface ProcessDeploymentOptions {
     readonly zones: readonly string[];
--- a/bench/src/benches/overhead.ts
+++ b/bench/src/benches/overhead.ts
@@ -1,10 +1,11 @@
 /** One entry process against a bare express and undici forwarder, in the same run. */
 
+import { findFreePorts } from "@anvilmux/stand-ins";
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { resolve } from "node:path";
 import { Pool } from "undici";
-import { findFreePorts, waitFor } from "../../../anvilmux-daemon/src/Deployment";
+import { waitFor } from "../../../anvilmux-daemon/src/Deployment";
 import { ProcessDeployment } from "../ProcessDeployment";
 import { benchManifest, callerToken, service } from "../requestPath";
 import { getPercentile, round } from "../statistics";
--- a/packages/anvilmux/tests/controlInstance.test.ts
+++ b/packages/anvilmux/tests/controlInstance.test.ts
@@ -1,19 +1,11 @@
 /** Control instances over loopback: they form a group, keep a configuration, and one ends while the others go on. */
 
 import { ControlInstance, loadSettings, newSystemEnvironment } from "@anvilmux/anvilmux";
-import { judgeHighestVersion, parseManifest } from "@anvilmux/manifest";
-import type { ManifestAuthority } from "@anvilmux/manifest";
+import { findFreePort } from "@anvilmux/stand-ins";
 import { mkdtempSync, rmSync } from "node:fs";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-
-const authority: ManifestAuthority = {
-    verify: text => ({ manifest: parseManifest(text), digest: text }),
-    read: text => ({ manifest: parseManifest(text), digest: text }),
-    judge: judgeHighestVersion,
-};
+import { trustingAuthority } from "./trustingAuthority";
 
 const cleanups: (() => unknown)[] = [];
 afterEach(async () => {
@@ -22,15 +14,6 @@
     }
 });
 
-const findFreePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-
 const startControl = async (name: string, port: number, peers: readonly string[]): Promise<ControlInstance> => {
     const folder = mkdtempSync(join(tmpdir(), "anvilmux-control-"));
     cleanups.push(() => rmSync(folder, { recursive: true, force: true }));
@@ -47,7 +30,7 @@
         "platform-token": "test",
         "operator-token": "test",
     }, {});
-    const environment = { ...newSystemEnvironment(), authority };
+    const environment = { ...newSystemEnvironment(), authority: trustingAuthority };
     const control = new ControlInstance({ settings, environment, linkPort: await findFreePort() });
     await control.start();
     return control;
--- a/packages/anvilmux/tests/dispatchEntry.test.ts
+++ b/packages/anvilmux/tests/dispatchEntry.test.ts
@@ -15,11 +15,9 @@
 } from "@anvilmux/dispatch";
 import { ControlHub } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
-import { judgeHighestVersion, parseManifest } from "@anvilmux/manifest";
-import type { ManifestAuthority } from "@anvilmux/manifest";
+import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
 import { Metrics, newSilentLogger } from "@anvilmux/telemetry";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import { trustingAuthority } from "./trustingAuthority";
 
 const manifestText = JSON.stringify({
     format: 1,
@@ -27,12 +25,6 @@
     queues: [{ name: "q", host: "h", pathPrefix: "/", service: "s", timeoutMs: 5_000 }],
 });
 
-const authority: ManifestAuthority = {
-    verify: text => ({ manifest: parseManifest(text), digest: text }),
-    read: text => ({ manifest: parseManifest(text), digest: text }),
-    judge: judgeHighestVersion,
-};
-
 const environment = newSystemEnvironment();
 /** A clock that runs slowly, so that waits measured on it outlast the test on a busy machine. */
 const slowEnvironment: Environment = {
@@ -44,21 +36,6 @@
 
 afterEach(() => cleanups.splice(0).reverse().forEach(cleanup => cleanup()));
 
-const findFreePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-
-const waitFor = async (condition: () => boolean): Promise<void> => {
-    while (!condition()) {
-        await new Promise(resolve => setTimeout(resolve, 10));
-    }
-};
-
 /** Workers that answer at once and run tasks, with some progress between two lists, until they are told to end. */
 class EndlessWorkers {
     readonly starts: StartOrder[] = [];
@@ -142,7 +119,7 @@
         host: "127.0.0.1",
         linkPort: await findFreePort(),
         controlSeeds: [toAddress(`127.0.0.1:${controlPort}`)],
-        authority,
+        authority: trustingAuthority,
         connectWorker: () => workers.connect(),
         environment: world,
         logger,
@@ -150,7 +127,7 @@
     });
     await entry.start();
     cleanups.push(() => entry.stop());
-    await waitFor(() => entry.isReady);
+    await waitUntil(() => entry.isReady);
     return entry;
 };
 
@@ -175,18 +152,32 @@
     spilled: false,
 });
 
+/** Two entries in one zone, of which the first owns the workers, and one in another; each zone has one worker. */
+const startTwoZones = async () => {
+    const { hub, port } = await startControl();
+    hub.noteWorker(newWorker("z1", 1_000));
+    hub.noteWorker(newWorker("z2", 1_000));
+    const here = new EndlessWorkers();
+    const there = new EndlessWorkers();
+    const first = await startEntry(toInstanceId("a"), "z1", port, here, slowEnvironment);
+    const second = await startEntry(toInstanceId("b"), "z1", port, here, slowEnvironment);
+    const other = await startEntry(toInstanceId("c"), "z2", port, there, slowEnvironment);
+    await waitUntil(() => first.ownerId === "a" && second.ownerId === "a" && other.ownerId === "c");
+    return { first, second, here, there };
+};
+
 test("an entry that leaves hands its zone's workers over, and nothing is started twice", async () => {
     const { hub, port } = await startControl();
     hub.noteWorker(newWorker("z1", 1_000));
     const workers = new EndlessWorkers();
     const first = await startEntry(toInstanceId("a"), "z1", port, workers);
     const second = await startEntry(toInstanceId("b"), "z1", port, workers);
-    await waitFor(() => first.ownerId === "a" && second.ownerId === "a");
+    await waitUntil(() => first.ownerId === "a" && second.ownerId === "a");
     const answers: JobAnswer[] = [];
     second.accept(newJob("job1", 600), answer => answers.push(answer));
-    await waitFor(() => workers.starts.length === 1);
+    await waitUntil(() => workers.starts.length === 1);
     first.leave();
-    await waitFor(() => second.ownerId === "b" && first.ownerId === "b");
+    await waitUntil(() => second.ownerId === "b" && first.ownerId === "b");
     await new Promise(resolve => setTimeout(resolve, 300));
     expect(workers.starts).toHaveLength(1);
     expect(workers.running.size).toBe(1);
@@ -194,47 +185,31 @@
 }, 30_000);
 
 test("a leaving owner's own job with tasks in another zone is not started again at once", async () => {
-    const { hub, port } = await startControl();
-    hub.noteWorker(newWorker("z1", 1_000));
-    hub.noteWorker(newWorker("z2", 1_000));
-    const here = new EndlessWorkers();
-    const there = new EndlessWorkers();
-    const first = await startEntry(toInstanceId("a"), "z1", port, here, slowEnvironment);
-    const second = await startEntry(toInstanceId("b"), "z1", port, here, slowEnvironment);
-    const other = await startEntry(toInstanceId("c"), "z2", port, there, slowEnvironment);
-    await waitFor(() => first.ownerId === "a" && second.ownerId === "a" && other.ownerId === "c");
+    const { first, second, here, there } = await startTwoZones();
     const abandonFirst = first.accept(newJob("job1", 900), () => undefined);
-    await waitFor(() => here.starts.length === 1);
+    await waitUntil(() => here.starts.length === 1);
     first.accept(newJob("job2", 900), () => undefined);
-    await waitFor(() => there.starts.length === 1);
+    await waitUntil(() => there.starts.length === 1);
     abandonFirst();
-    await waitFor(() => here.running.size === 0);
+    await waitUntil(() => here.running.size === 0);
     first.leave();
-    await waitFor(() => second.ownerId === "b");
+    await waitUntil(() => second.ownerId === "b");
     await new Promise(resolve => setTimeout(resolve, 500));
     expect(here.starts.filter(start => start.task === "job2.0")).toEqual([]);
 }, 30_000);
 
 test("a leaving owner waits for tasks in other zones before it hands its workers over", async () => {
-    const { hub, port } = await startControl();
-    hub.noteWorker(newWorker("z1", 1_000));
-    hub.noteWorker(newWorker("z2", 1_000));
-    const here = new EndlessWorkers();
-    const there = new EndlessWorkers();
-    const first = await startEntry(toInstanceId("a"), "z1", port, here, slowEnvironment);
-    const second = await startEntry(toInstanceId("b"), "z1", port, here, slowEnvironment);
-    const other = await startEntry(toInstanceId("c"), "z2", port, there, slowEnvironment);
-    await waitFor(() => first.ownerId === "a" && second.ownerId === "a" && other.ownerId === "c");
+    const { first, second, here, there } = await startTwoZones();
     first.accept(newJob("job1", 900), () => undefined);
-    await waitFor(() => here.starts.length === 1);
+    await waitUntil(() => here.starts.length === 1);
     const answers: JobAnswer[] = [];
     first.accept(newJob("job2", 900), answer => answers.push(answer));
-    await waitFor(() => there.starts.length === 1);
+    await waitUntil(() => there.starts.length === 1);
     first.leave();
     there.finish("job2.0");
-    await waitFor(() => answers.length > 0);
+    await waitUntil(() => answers.length > 0);
     expect(answers).toEqual([{ kind: "completed" }]);
-    await waitFor(() => second.ownerId === "b");
+    await waitUntil(() => second.ownerId === "b");
     expect(here.starts.map(start => start.task)).toEqual(["job1.0"]);
 }, 30_000);
 
@@ -244,8 +219,8 @@
     const entry = await startEntry(toInstanceId("a"), "z1", former.port, new EndlessWorkers());
     const successor = await startControl();
     addresses.push(toAddress(`127.0.0.1:${successor.port}`));
-    await waitFor(() => successor.hub.entryCount === 1);
+    await waitUntil(() => successor.hub.entryCount === 1);
     former.hub.stop();
-    await waitFor(() => former.hub.entryCount === 0);
+    await waitUntil(() => former.hub.entryCount === 0);
     expect(entry.hearsControl).toBe(true);
 }, 30_000);
--- a/packages/dispatch/tests/spilling.test.ts
+++ b/packages/dispatch/tests/spilling.test.ts
@@ -1,26 +1,26 @@
 /** Tasks handed to the pools of other zones: choice, refusal, loss, and handing the pool itself over. */
 
-import type { FreeRoom, JobRequest } from "@anvilmux/dispatch";
+import type { JobRequest } from "@anvilmux/dispatch";
 import { PoolWorld } from "./poolWorld";
 
 describe("spilling", () => {
-    const newRemote = (world: PoolWorld, free: FreeRoom) => {
+    /** A zone with one worker, beside another zone that has reported room for two tasks. */
+    const newSpillWorld = async () => {
+        const world = new PoolWorld(1);
+        const pool = world.newPool(1);
+        await world.time.advance(20);
         const sent: JobRequest[] = [];
-        const cancelled: string[] = [];
         world.remotePools = [{
             zone: "eire-cork",
-            free,
+            free: { desk: [16_000] },
             submit: request => sent.push(request) > 0,
-            cancel: id => cancelled.push(id),
+            cancel: () => undefined,
         }];
-        return { sent, cancelled };
+        return { world, pool, sent };
     };
 
     test("tasks without room go to a zone that has it, and the home is told first", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        const { sent } = newRemote(world, { desk: [16_000] });
+        const { world, pool, sent } = await newSpillWorld();
         world.submit(pool, world.newJob("a", { tasks: 4 }));
         await world.time.advance(10);
         expect(sent[0]?.tasks.map(task => task.name)).toEqual(["a.2", "a.3"]);
@@ -33,11 +33,8 @@
     });
 
     test("nothing is handed over before the home knows of it", async () => {
-        const world = new PoolWorld(1);
+        const { world, pool, sent } = await newSpillWorld();
         world.homesKnowAtOnce = false;
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        const { sent } = newRemote(world, { desk: [16_000] });
         const request = world.newJob("a", { tasks: 4, runMs: 1_000, objectiveMs: 4_000 });
         world.submit(pool, request);
         await world.time.advance(200);
@@ -51,10 +48,7 @@
     });
 
     test("the next home of a job is told that tasks are elsewhere", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        newRemote(world, { desk: [16_000] });
+        const { world, pool } = await newSpillWorld();
         const request = world.newJob("a", { tasks: 4, runMs: 1_000, objectiveMs: 4_000 });
         world.submit(pool, request);
         await world.time.advance(50);
@@ -63,10 +57,7 @@
     });
 
     test("refused tasks wait here again", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        const { sent } = newRemote(world, { desk: [16_000] });
+        const { world, pool, sent } = await newSpillWorld();
         world.submit(pool, world.newJob("a", { tasks: 4 }));
         await world.time.advance(10);
         world.remotePools = [];
@@ -76,10 +67,7 @@
     });
 
     test("the home is told once nothing of the job is elsewhere any more", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        const { sent } = newRemote(world, { desk: [16_000] });
+        const { world, pool, sent } = await newSpillWorld();
         world.submit(pool, world.newJob("a", { tasks: 4, runMs: 200 }));
         await world.time.advance(10);
         expect([world.awayJobs, world.backJobs]).toEqual([["a"], []]);
@@ -88,10 +76,7 @@
     });
 
     test("a pool that is about to be handed over neither gives nor takes tasks", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        const { sent } = newRemote(world, { desk: [16_000] });
+        const { world, pool, sent } = await newSpillWorld();
         world.submit(pool, world.newJob("before", { tasks: 3 }));
         await world.time.advance(10);
         pool.prepareHandOver();
@@ -108,10 +93,7 @@
     });
 
     test("a lost zone leaves the outcome unknown, and nothing is started again here", async () => {
-        const world = new PoolWorld(1);
-        const pool = world.newPool(1);
-        await world.time.advance(20);
-        newRemote(world, { desk: [16_000] });
+        const { world, pool } = await newSpillWorld();
         world.submit(pool, world.newJob("a", { tasks: 4 }));
         await world.time.advance(10);
         pool.noteRemoteLost("eire-cork");
--- a/packages/fleet/tests/ControlHub.test.ts
+++ b/packages/fleet/tests/ControlHub.test.ts
@@ -6,8 +6,9 @@
 import type { WorkerAnnouncement } from "@anvilmux/dispatch";
 import { ControlHub, ControlLinks } from "@anvilmux/fleet";
 import type { EntryMember, ZoneOwner } from "@anvilmux/fleet";
+import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
 import { Metrics } from "@anvilmux/telemetry";
-import { findFreePort, newChecker, newEnvironment, newMember, toLoopback, waitFor } from "./loopback";
+import { newChecker, newEnvironment, newMember, toLoopback } from "./loopback";
 
 const cleanups: (() => void)[] = [];
 afterEach(() => cleanups.splice(0).reverse().forEach(cleanup => cleanup()));
@@ -88,36 +89,36 @@
         const first = new EntryWorld("a", "z1", [toLoopback(port)]);
         const second = new EntryWorld("b", "z1", [toLoopback(port)]);
         const other = new EntryWorld("c", "z2", [toLoopback(port)]);
-        await waitFor(() => first.members.length === 2 && second.members.length === 2 && other.members.length === 1);
+        await waitUntil(() => first.members.length === 2 && second.members.length === 2 && other.members.length === 1);
         hub.noteWorker(newWorker("z2"));
-        await waitFor(() => other.workers.length === 1 && first.workers.length === 1);
+        await waitUntil(() => other.workers.length === 1 && first.workers.length === 1);
         expect(first.workers.map(worker => worker.id)).toEqual(["worker-z1"]);
         expect(first.links.areMembersTold).toBe(true);
         second.links.stop();
-        await waitFor(() => first.members.length === 1);
+        await waitUntil(() => first.members.length === 1);
     }, 30_000);
 
     test("claims of all zones are told to every entry, and end with the connection", async () => {
         const { port } = await startHub();
         const first = new EntryWorld("a", "z1", [toLoopback(port)]);
         const second = new EntryWorld("b", "z2", [toLoopback(port)]);
-        await waitFor(() => first.members.length === 1 && second.members.length === 1);
+        await waitUntil(() => first.members.length === 1 && second.members.length === 1);
         first.claim = 42;
         first.links.tellClaim();
-        await waitFor(() => second.owners.some(owner => owner.claim === 42));
+        await waitUntil(() => second.owners.some(owner => owner.claim === 42));
         first.links.stop();
-        await waitFor(() => second.owners.length === 0);
+        await waitUntil(() => second.owners.length === 0);
     }, 30_000);
 
     test("a newer configuration is fetched from whichever control instance has it", async () => {
         const [one, two] = [await startHub(), await startHub()];
         const entry = new EntryWorld("a", "z1", [toLoopback(one.port), toLoopback(two.port)]);
-        await waitFor(() => entry.configurationIndex === 3 && entry.links.openCount === 2);
+        await waitUntil(() => entry.configurationIndex === 3 && entry.links.openCount === 2);
         [one, two].forEach(world => {
             world.index = 4;
             world.hub.announceConfiguration();
         });
-        await waitFor(() => entry.configurationIndex === 4);
+        await waitUntil(() => entry.configurationIndex === 4);
         // A slow answer is asked for a second time elsewhere.
         expect([...new Set(entry.configurations)]).toEqual(["configuration 3", "configuration 4"]);
     }, 30_000);
@@ -127,12 +128,12 @@
         async () => {
             const [one, two] = [await startHub(), await startHub()];
             const entry = new EntryWorld("a", "z1", [toLoopback(one.port)]);
-            await waitFor(() => entry.links.areMembersTold);
+            await waitUntil(() => entry.links.areMembersTold);
             one.addresses = [toLoopback(one.port), toLoopback(two.port)];
-            await waitFor(() => two.hub.entryCount === 1 && entry.links.openCount === 2);
+            await waitUntil(() => two.hub.entryCount === 1 && entry.links.openCount === 2);
             one.hub.stop();
             two.hub.stop();
-            await waitFor(() => entry.links.openCount === 0);
+            await waitUntil(() => entry.links.openCount === 0);
             expect(entry.links.areMembersTold).toBe(false);
         },
         30_000,
--- a/packages/fleet/tests/ZoneMesh.test.ts
+++ b/packages/fleet/tests/ZoneMesh.test.ts
@@ -4,7 +4,8 @@
 import type { JobRequest } from "@anvilmux/dispatch";
 import { ZoneMesh } from "@anvilmux/fleet";
 import type { EntryMember, FromPeer } from "@anvilmux/fleet";
-import { findFreePort, newChecker, newEnvironment, newMember, waitFor } from "./loopback";
+import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
+import { newChecker, newEnvironment, newMember } from "./loopback";
 
 const cleanups: (() => void)[] = [];
 afterEach(() => cleanups.splice(0).reverse().forEach(cleanup => cleanup()));
@@ -61,7 +62,7 @@
     const members = [first.member, second.member];
     first.mesh.noteMembers(members);
     second.mesh.noteMembers(members);
-    await waitFor(() => first.mesh.isEachPeerHeard() && second.mesh.isEachPeerHeard());
+    await waitUntil(() => first.mesh.isEachPeerHeard() && second.mesh.isEachPeerHeard());
     return [first, second];
 };
 
@@ -86,7 +87,7 @@
         first.mesh.noteMembers([(await startNode("c", "z2")).member]);
         second.claim = 77;
         second.mesh.tellState();
-        await waitFor(() => first.mesh.getCandidates().some(candidate => candidate.claim === 77));
+        await waitUntil(() => first.mesh.getCandidates().some(candidate => candidate.claim === 77));
         expect(first.mesh.getCandidates().map(candidate => candidate.id)).toEqual(["b"]);
     }, 30_000);
 
@@ -100,21 +101,21 @@
     test("jobs, answers and what homes know travel between them", async () => {
         const [first, second] = await startPair();
         expect(first.mesh.send("b", { type: "submit", request: newRequest("job1") })).toBe(true);
-        await waitFor(() => second.submitted.length === 1);
+        await waitUntil(() => second.submitted.length === 1);
         second.reply({ type: "away", id: toJobId("job1") });
-        await waitFor(() => first.replies.length === 1);
+        await waitUntil(() => first.replies.length === 1);
         first.mesh.send("b", { type: "away-known", id: toJobId("job1") });
         first.mesh.send("b", { type: "cancel", id: toJobId("job1") });
-        await waitFor(() => second.cancelled.length === 1);
+        await waitUntil(() => second.cancelled.length === 1);
         expect([second.knownAway, second.home]).toEqual([["job1"], expect.stringMatching(/^a#/)]);
     }, 30_000);
 
     test("the loss of an entry is noticed at both ends of its connections", async () => {
         const [first, second] = await startPair();
         first.mesh.send("b", { type: "submit", request: newRequest("job1") });
-        await waitFor(() => second.submitted.length === 1);
+        await waitUntil(() => second.submitted.length === 1);
         first.mesh.stop();
-        await waitFor(() => second.lostPeers.includes("a") && second.lostHomes.includes(second.home));
+        await waitUntil(() => second.lostPeers.includes("a") && second.lostHomes.includes(second.home));
         expect(second.mesh.getCandidates()).toEqual([]);
         expect(second.mesh.send("a", { type: "cancel", id: toJobId("job1") })).toBe(false);
     }, 30_000);
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -2,5 +2,6 @@
 export * from "./Announcer";
 export * from "./LeasedWorker";
 export * from "./LoadGenerator";
+export * from "./loopback";
 export * from "./StandInUpstream";
 export * from "./StandInWorker";
--- /dev/null
+++ b/stand-ins/src/loopback.ts
@@ -0,0 +1,27 @@
+/** Helpers for instances and stand-ins that run on loopback. */
+
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** Ports that were free a moment ago. */
+export const findFreePorts = async (count: number): Promise<readonly number[]> => {
+    const servers = await Promise.all(Array.from({ length: count }, async () => {
+        const server = createServer();
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        return server;
+    }));
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+};
+
+export const findFreePort = async (): Promise<number> => (await findFreePorts(1))[0]!;
+
+const pollMs = 5;
+
+/** Waits for a condition for as long as it takes. */
+export const waitUntil = async (holds: () => boolean): Promise<void> => {
+    while (!holds()) {
+        await new Promise(resolve => setTimeout(resolve, pollMs));
+    }
+};
