Telemetry: an entry measures how late its event loop is and how much processor time it uses

The line `event loop late` gives the longest delay and the processor time of each second with a delay of 50 ms or more; `anvilmux_loop_delay_ms` and `anvilmux_processor_seconds` are on the metrics address. No decision depends on them.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -21,6 +21,7 @@
 import type { EntryMember, FromPeer, ZoneOwner } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
 import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
+import { getProcessorTime, LoopDelayMonitor } from "@anvilmux/telemetry";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { Environment } from "../environment";
 
@@ -100,7 +101,7 @@
     /** Rejects when the link port cannot be bound. */
     async start(): Promise<void> {
         await this.mesh.start();
-        const { environment, controlSeeds, logger } = this.options;
+        const { environment, controlSeeds, logger, metrics } = this.options;
         this.control = new ControlLinks({
             self: this.self,
             seeds: controlSeeds,
@@ -113,14 +114,16 @@
             onWorkers: announcements => this.handleWorkers(announcements),
             onConfiguration: (index, envelope) => this.applyConfiguration(index, envelope),
         });
+        const loopDelay = new LoopDelayMonitor({ ...environment, logger, metrics, getProcessorTime });
         const unsubscribers = [
+            () => loopDelay.stop(),
             environment.timers.every(electionPeriodMs, () => this.election.update()),
             environment.timers.every(capacityReportPeriodMs, () => this.reportFreeCapacity()),
         ];
         this.unsubscribe = () => unsubscribers.forEach(unsubscribe => unsubscribe());
-        this.options.metrics.gauge("anvilmux_open_jobs", {}, () => this.pendingJobs.openJobs);
-        this.options.metrics.gauge("anvilmux_waiting_jobs", {}, () => this.scheduler?.waitingJobs ?? 0);
-        this.options.metrics.gauge("anvilmux_configuration_index", {}, () => this.configurationHolder.index);
+        metrics.gauge("anvilmux_open_jobs", {}, () => this.pendingJobs.openJobs);
+        metrics.gauge("anvilmux_waiting_jobs", {}, () => this.scheduler?.waitingJobs ?? 0);
+        metrics.gauge("anvilmux_configuration_index", {}, () => this.configurationHolder.index);
     }
 
     stop(): void {
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./explainLogs";
 export * from "./LineWriter";
 export * from "./logger";
+export * from "./LoopDelayMonitor";
 export * from "./Metrics";
 export * from "./newTracing";
 export * from "./Tracing";
