Dispatch: entries of the zone make the calls to workers for the owner of many

Ruled out: workers that are slow or cut off (none was), ownership that changes (one claim a zone, no lost connection). Change: an owner of more than 24 workers sends each call as a message to another ready entry of the zone, which makes it and sends the answer back. The relay decides and remembers nothing; a lost one is a call without an answer, which sessions handle already (fencing tokens, run numbers, deadlines on the worker's clock). A call is given up only after what has arrived was read, so a late owner does not throw answers away.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -13,7 +13,9 @@
     chooseBestFit,
     PendingJobs,
     QueueTable,
+    RelayedWorkers,
     TaskScheduler,
+    WorkerRelay,
     ZoneElection,
 } from "@anvilmux/dispatch";
 import type { ConnectWorker, Fitness, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
@@ -52,6 +54,8 @@
     private readonly pendingJobs: PendingJobs;
     private readonly election: ZoneElection;
     private readonly mesh: ZoneMesh;
+    private readonly relayedWorkers: RelayedWorkers;
+    private readonly relay: WorkerRelay;
     private control: ControlLinks | undefined;
     private scheduler: TaskScheduler | undefined;
     private ownerLinks: OwnerLinks | undefined;
@@ -95,6 +99,16 @@
             onClaim: claim => this.handleClaimChange(claim),
             onOwner: () => this.pendingJobs.handleOwnerChange(),
         });
+        this.relayedWorkers = new RelayedWorkers({
+            connect: options.connectWorker,
+            getRelays: () => this.mesh.getCandidates().filter(({ fitness }) => fitness === "ready").map(({ id }) => id),
+            send: (peerId, call) => this.mesh.send(peerId, { type: "worker-call", ...call }),
+            clock,
+            timers,
+            logger,
+            metrics,
+        });
+        this.relay = new WorkerRelay({ connect: options.connectWorker, clock, timers });
         this.mesh = this.newMesh();
     }
 
@@ -131,6 +145,7 @@
         // Pending jobs are cancelled at their owner, so this comes before the connections are closed.
         this.pendingJobs.stop();
         this.scheduler?.stop();
+        this.relay.stop();
         this.ownerLinks?.stop();
         this.control?.stop();
         this.mesh.stop();
@@ -206,11 +221,17 @@
             checker: this.checker,
             environment: { ...environment, logger },
             getState: () => ({ claim: this.election.claim, fitness: this.getFitness() }),
-            onChange: () => this.election.update(),
+            onChange: () => {
+                this.relayedWorkers.handleRelaysChanged();
+                this.election.update();
+            },
             onReply: (peerId, message) => this.handleReply(peerId, message),
             getWorkers: () => this.workers.getAll(),
             onWorkers: announcements => this.handleWorkers(announcements),
-            onPeerDisconnected: peerId => this.pendingJobs.handleOwnerDisconnected(peerId),
+            onPeerDisconnected: peerId => {
+                this.relayedWorkers.handleDisconnected(peerId);
+                this.pendingJobs.handleOwnerDisconnected(peerId);
+            },
             onSubmit: (submitter, message, reply) => {
                 this.handleSubmit(message.request, submitter, reply);
             },
@@ -218,6 +239,8 @@
                 this.scheduler?.handleRemoteAcknowledgement(message.id, submitter),
             onCancel: (submitter, message) => this.scheduler?.cancel(message.id, submitter, "cancelled by its entry"),
             onSubmitterDisconnected: submitter => this.scheduler?.handleSubmitterDisconnected(submitter),
+            onWorkerCall: (call, reply) =>
+                void this.relay.handle(call, answer => reply({ type: "worker-answer", number: call.number, answer })),
         });
     }
 
@@ -320,6 +343,9 @@
                 return;
             case "back":
                 this.pendingJobs.markRemoteTasks(peerId, message.id, false);
+                return;
+            case "worker-answer":
+                this.relayedWorkers.handleAnswer(message.number, message.answer);
         }
     }
 
@@ -334,9 +360,9 @@
     }
 
     private newScheduler(): TaskScheduler {
-        const { environment, logger, metrics, connectWorker } = this.options;
+        const { environment, logger, metrics } = this.options;
         return new TaskScheduler({
-            connect: connectWorker,
+            connect: this.relayedWorkers.connect,
             choose: chooseBestFit,
             getRemoteSchedulers: () => this.ownerLinks?.getRemoteSchedulers() ?? [],
             getFencingToken: () => this.election.claim,
--- /dev/null
+++ b/packages/dispatch/src/RelayAssignment.ts
@@ -0,0 +1,52 @@
+/** Assigns each worker of an owner to a relay, so that all relays have about the same number of workers. */
+
+import type { WorkerId } from "./types";
+
+/** A relay with more workers than this many times the mean, and one more, gives some up. */
+const tolerableLoad = 1.25;
+
+export class RelayAssignment {
+    private readonly relayOf = new Map<WorkerId, string>();
+    private readonly counts = new Map<string, number>();
+
+    /** The relay of a worker among `relays`; it changes only when it is not among them or has too many workers. */
+    choose(worker: WorkerId, relays: readonly string[]): string | undefined {
+        const present = this.relayOf.get(worker);
+        if (present !== undefined && relays.includes(present) && !this.isOverloaded(present, relays)) {
+            return present;
+        }
+        this.remove(worker);
+        const chosen = this.findLeastLoaded(relays);
+        if (chosen !== undefined) {
+            this.relayOf.set(worker, chosen);
+            this.counts.set(chosen, this.getCount(chosen) + 1);
+        }
+        return chosen;
+    }
+
+    remove(worker: WorkerId): void {
+        const relay = this.relayOf.get(worker);
+        if (relay !== undefined) {
+            this.relayOf.delete(worker);
+            this.counts.set(relay, this.getCount(relay) - 1);
+        }
+    }
+
+    private getCount(relay: string): number {
+        return this.counts.get(relay) ?? 0;
+    }
+
+    private isOverloaded(relay: string, relays: readonly string[]): boolean {
+        return this.getCount(relay) > tolerableLoad * this.relayOf.size / relays.length + 1;
+    }
+
+    private findLeastLoaded(relays: readonly string[]): string | undefined {
+        let best: string | undefined;
+        for (const relay of relays) {
+            if (best === undefined || this.getCount(relay) < this.getCount(best)) {
+                best = relay;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/packages/dispatch/src/RelayedWorkers.ts
@@ -0,0 +1,160 @@
+/**
+ * Drivers of an owner's workers whose calls other entries of the zone make: relays. The owner of many workers keeps
+ * the queue, the view of the capacity and every decision, and spends its processor time on those rather than on the
+ * exchanges. A relay decides nothing and remembers nothing of a call, so a lost or late relay is to the owner what a lost or late
+ * network is: a call without an answer.
+ */
+
+import type { Clock, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
+import type { Logger, Metrics } from "@anvilmux/telemetry";
+import { maximumDirectWorkers, orderTimeoutMs, relaySuspicionMs, relayTimeoutMs } from "./constants";
+import { RelayAssignment } from "./RelayAssignment";
+import type { ConnectWorker, StartAnswer, WatchAnswer, WorkerDriver, WorkerTarget } from "./types";
+import { getCallTimeout, makeWorkerCall } from "./workerCalls";
+import type { NumberedWorkerCall, WorkerCall, WorkerCallAnswer } from "./workerCalls";
+
+export interface RelayedWorkersOptions {
+    /** Connects to a worker from this process. */
+    readonly connect: ConnectWorker;
+    /** The entries that can relay calls now. */
+    readonly getRelays: () => readonly string[];
+    /** False when the relay is not connected. */
+    readonly send: (relay: string, call: NumberedWorkerCall) => boolean;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+interface PendingCall {
+    readonly relay: string;
+    /** Called with undefined when the relay did not answer. */
+    readonly resolve: (answer: WorkerCallAnswer | undefined) => void;
+}
+
+export class RelayedWorkers {
+    private readonly pending = new Map<number, PendingCall>();
+    private readonly suspectedUntil = new Map<string, Milliseconds>();
+    private readonly assignment = new RelayAssignment();
+    /** Relays that are connected and answered lately; undefined when that has to be determined again. */
+    private trusted: readonly string[] | undefined;
+    private nextNumber = 1;
+    private openDrivers = 0;
+
+    constructor(private readonly options: RelayedWorkersOptions) {}
+
+    /** A driver whose calls are made from here while the owner has few workers, and by relays otherwise. */
+    readonly connect: ConnectWorker = worker => {
+        let direct: WorkerDriver | undefined;
+        let isOpen = true;
+        const getDirect = () => direct ??= this.options.connect(worker);
+        const call = (made: WorkerCall) => this.call(worker, made, getDirect);
+        this.openDrivers += 1;
+        return {
+            start: async order => await call({ kind: "start", order }) as StartAnswer | undefined ?? withoutAnswer,
+            stop: async (task, run, fencingToken) => await call({ kind: "stop", task, run, fencingToken }) === true,
+            watch: async order => await call({ kind: "watch", order }) as WatchAnswer | undefined ?? withoutAnswer,
+            close: () => {
+                this.openDrivers -= isOpen ? 1 : 0;
+                isOpen = false;
+                this.assignment.remove(worker.id);
+                direct?.close();
+            },
+        };
+    };
+
+    /** Passes on a relay's answer; ignored when the call was given up. */
+    handleAnswer(number: number, answer: WorkerCallAnswer): void {
+        this.settle(number, answer);
+    }
+
+    /** The calls that a disconnected relay had may have been made, and stay without an answer. */
+    handleDisconnected(relay: string): void {
+        this.trusted = undefined;
+        [...this.pending]
+            .filter(([, call]) => call.relay === relay)
+            .forEach(([number]) => this.settle(number, undefined));
+    }
+
+    /** To be called when entries connected, disconnected or changed their readiness. */
+    handleRelaysChanged(): void {
+        this.trusted = undefined;
+    }
+
+    private async call(
+        worker: WorkerTarget,
+        call: WorkerCall,
+        getDirect: () => WorkerDriver,
+    ): Promise<WorkerCallAnswer | undefined> {
+        const relay = this.openDrivers > maximumDirectWorkers
+            ? this.assignment.choose(worker.id, this.getTrustedRelays())
+            : undefined;
+        return (relay === undefined ? undefined : this.callThrough(relay, worker, call))
+            ?? makeWorkerCall(getDirect(), call);
+    }
+
+    /** Undefined when the relay is not connected; the call was then not made. */
+    private callThrough(
+        relay: string,
+        worker: WorkerTarget,
+        call: WorkerCall,
+    ): Promise<WorkerCallAnswer | undefined> | undefined {
+        const number = this.nextNumber++;
+        const target = { id: worker.id, address: worker.address };
+        if (!this.options.send(relay, { number, worker: target, call })) {
+            return undefined;
+        }
+        this.options.metrics.count("anvilmux_relayed_calls_total", { call: call.kind });
+        return new Promise(resolve => {
+            const cancelTimeout = this.options.timers.after(
+                getCallTimeout(call, orderTimeoutMs) + relayTimeoutMs,
+                // An answer that arrived while this process was late is read before the call is given up.
+                () => setImmediate(() => this.handleTimeout(number, relay)),
+            );
+            this.pending.set(number, { relay, resolve: withCleanup(cancelTimeout, resolve) });
+        });
+    }
+
+    private handleTimeout(number: number, relay: string): void {
+        if (this.pending.has(number)) {
+            this.options.metrics.count("anvilmux_relay_timeouts_total");
+            this.options.logger.warn("relay does not answer", { relay });
+            this.suspect(relay);
+            this.settle(number, undefined);
+        }
+    }
+
+    private settle(number: number, answer: WorkerCallAnswer | undefined): void {
+        const call = this.pending.get(number);
+        this.pending.delete(number);
+        call?.resolve(answer);
+    }
+
+    private suspect(relay: string): void {
+        this.suspectedUntil.set(relay, this.options.clock.now() + relaySuspicionMs);
+        this.trusted = undefined;
+        this.options.timers.after(relaySuspicionMs, () => this.trusted = undefined);
+    }
+
+    /** Relays that answered lately; all connected ones when none did. */
+    private getTrustedRelays(): readonly string[] {
+        if (!this.trusted) {
+            const now = this.options.clock.now();
+            const relays = this.options.getRelays();
+            const trusted = relays.filter(relay => now >= (this.suspectedUntil.get(relay) ?? 0));
+            this.trusted = trusted.length > 0 ? trusted : relays;
+        }
+        return this.trusted;
+    }
+}
+
+const withoutAnswer = { kind: "unanswered", reason: "the relay gave no answer" } as const;
+
+const withCleanup = (
+    cleanUp: Unsubscribe,
+    resolve: (answer: WorkerCallAnswer | undefined) => void,
+) =>
+(answer: WorkerCallAnswer | undefined): void => {
+    cleanUp();
+    resolve(answer);
+};
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -25,6 +25,14 @@
 export const pollAfterValidityMs = 12;
 /** Delay before the next watch after a completion, so that completions close together share one list. */
 export const completionBatchMs = 2;
+/** Number of workers up to which an owner makes all calls itself. */
+export const maximumDirectWorkers = 24;
+/** Time beyond a call's own timeout within which a relay must answer. */
+export const relayTimeoutMs = 60;
+/** Time for which a relay that left a call unanswered gets no further ones. */
+export const relaySuspicionMs = 1_000;
+/** Time after which a relay closes connections to a worker that it was not asked to call. */
+export const relayedDriverRetentionMs = 10_000;
 export const firstRetryPauseMs = 100;
 export const longestRetryPauseMs = 2_000;
 /** Time after which a stop that was not carried out is ordered again. */
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -161,7 +161,10 @@
     readonly close: () => void;
 }
 
-export type ConnectWorker = (worker: WorkerAnnouncement) => WorkerDriver;
+/** What a call to a worker needs to know of it. */
+export type WorkerTarget = Pick<WorkerAnnouncement, "id" | "address">;
+
+export type ConnectWorker = (worker: WorkerTarget) => WorkerDriver;
 
 export const addResources = (left: Resources, right: Resources): Resources => ({
     millicores: left.millicores + right.millicores,
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -3,7 +3,7 @@
 import { toAddress, toJobId, toZoneId, VirtualTime } from "@anvilmux/common";
 import type { Milliseconds } from "@anvilmux/common";
 import { chooseBestFit, TaskScheduler, toTaskName, toWorkerId } from "@anvilmux/dispatch";
-import type { JobAnswer, JobRequest, JobSubmitter, RemoteScheduler, TaskName } from "@anvilmux/dispatch";
+import type { ConnectWorker, JobAnswer, JobRequest, JobSubmitter, RemoteScheduler, TaskName } from "@anvilmux/dispatch";
 import { LeasedWorker } from "@anvilmux/stand-ins";
 import { Metrics, newSilentLogger } from "@anvilmux/telemetry";
 
@@ -42,9 +42,17 @@
         }
     }
 
-    newScheduler(fencingToken: number, getFencingToken: () => number = () => fencingToken): TaskScheduler {
+    /** Connects to a worker directly. */
+    readonly connect: ConnectWorker = target =>
+        this.workers.find(worker => worker.announcement.id === target.id)!.connect();
+
+    newScheduler(
+        fencingToken: number,
+        getFencingToken: () => number = () => fencingToken,
+        connect: ConnectWorker = this.connect,
+    ): TaskScheduler {
         const scheduler = new TaskScheduler({
-            connect: announcement => this.workers.find(worker => worker.announcement.id === announcement.id)!.connect(),
+            connect,
             choose: chooseBestFit,
             getFencingToken,
             onFenced: token => this.fencedTokens.push(token),
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Clock, Milliseconds } from "@anvilmux/common";
-import type { Candidate, Fitness, FreeCapacity, WorkerAnnouncement } from "@anvilmux/dispatch";
+import type { Candidate, Fitness, FreeCapacity, NumberedWorkerCall, WorkerAnnouncement } from "@anvilmux/dispatch";
 import { Link, LinkServer } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment, Session } from "@anvilmux/links";
 import type { EntryMember, FromPeer, ToPeer } from "./messages";
@@ -32,6 +32,7 @@
     readonly onRemoteAcknowledged: (submitterKey: string, message: Extract<ToPeer, { type: "away-known"; }>) => void;
     readonly onCancel: (submitterKey: string, message: Extract<ToPeer, { type: "cancel"; }>) => void;
     readonly onSubmitterDisconnected: (submitterKey: string) => void;
+    readonly onWorkerCall: (call: NumberedWorkerCall, reply: (message: FromPeer) => void) => void;
 }
 
 interface Peer {
@@ -176,6 +177,9 @@
                         return;
                     case "cancel":
                         this.options.onCancel(submitterKey, message);
+                        return;
+                    case "worker-call":
+                        this.options.onWorkerCall(message, send);
                 }
             },
             onClose: () => {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -4,7 +4,15 @@
  */
 
 import type { Address, JobId } from "@anvilmux/common";
-import type { Fitness, FreeCapacity, JobAnswer, JobRequest, WorkerAnnouncement } from "@anvilmux/dispatch";
+import type {
+    Fitness,
+    FreeCapacity,
+    JobAnswer,
+    JobRequest,
+    NumberedWorkerCall,
+    WorkerAnnouncement,
+    WorkerCallAnswer,
+} from "@anvilmux/dispatch";
 
 /** The identity of an entry as announced to others. */
 export interface EntryMember {
@@ -53,7 +61,9 @@
     | { readonly type: "submit"; readonly request: JobRequest; }
     /** The submitter acknowledges that tasks of its job may run in other zones. */
     | { readonly type: "away-known"; readonly id: JobId; }
-    | { readonly type: "cancel"; readonly id: JobId; };
+    | { readonly type: "cancel"; readonly id: JobId; }
+    /** A call to a worker that the receiver makes for the sender, the owner of the zone's workers. */
+    | { readonly type: "worker-call"; } & NumberedWorkerCall;
 
 /** Messages to the entry that opened the connection. */
 export type FromPeer =
@@ -62,5 +72,6 @@
     | { readonly type: "away"; readonly id: JobId; }
     /** No task of the job is in another zone any longer. */
     | { readonly type: "back"; readonly id: JobId; }
+    | { readonly type: "worker-answer"; readonly number: number; readonly answer: WorkerCallAnswer; }
     /** The free capacity of the sender's zone; sent only to owners of other zones. */
     | { readonly type: "room"; readonly free: FreeCapacity; };
--- a/packages/fleet/tests/ZoneMesh.test.ts
+++ b/packages/fleet/tests/ZoneMesh.test.ts
@@ -1,6 +1,7 @@
 /** Entries of a zone over loopback: reported states, disconnections and submitted jobs. */
 
-import { toJobId } from "@anvilmux/common";
+import { toAddress, toJobId } from "@anvilmux/common";
+import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
 import type { JobRequest } from "@anvilmux/dispatch";
 import { ZoneMesh } from "@anvilmux/fleet";
 import type { EntryMember, FromPeer } from "@anvilmux/fleet";
@@ -45,6 +46,8 @@
             onRemoteAcknowledged: (_submitterKey, message) => this.remoteAcknowledged.push(message.id),
             onCancel: (_submitterKey, message) => this.cancelled.push(message.id),
             onSubmitterDisconnected: submitterKey => this.disconnectedSubmitters.push(submitterKey),
+            onWorkerCall: (call, reply) =>
+                reply({ type: "worker-answer", number: call.number, answer: call.call.kind === "stop" }),
         });
         cleanups.push(() => checker.stop(), () => this.mesh.stop());
     }
@@ -110,6 +113,15 @@
         expect([second.remoteAcknowledged, second.submitterKey]).toEqual([["job1"], expect.stringMatching(/^a#/)]);
     }, 30_000);
 
+    test("exchange calls to workers and their answers", async () => {
+        const [first] = await startPair();
+        const worker = { id: toWorkerId("w"), address: toAddress("127.0.0.1:1") };
+        const call = { kind: "stop", task: toTaskName("t"), run: 1, fencingToken: 1 } as const;
+        first.mesh.send("b", { type: "worker-call", number: 7, worker, call });
+        await waitUntil(() => first.replies.length === 1);
+        expect(first.replies).toEqual([{ type: "worker-answer", number: 7, answer: true }]);
+    }, 30_000);
+
     test("a stopped entry is detected at both ends of its connections", async () => {
         const [first, second] = await startPair();
         first.mesh.send("b", { type: "submit", request: newRequest("job1") });
