Dispatch: an answer read late does not make a worker's clock look slow

Cause: the estimate of a worker's clock was its latest sample. An answer that waited to be read gives a sample that is low by that time, and a start's deadline is 100 ms ahead of the estimate. Ruled out: late workers (none was disturbed), relays (the refusals were there before: 125 a second on konut). Change: the best sample of the last second counts, lowered by the clock's largest drift, so that the estimate is never ahead of a clock that runs. A sample lower by more than any answer's delay (a restart) replaces it at once. Same class as a timeout that a late process takes for a silent peer: an owner's own delay counted against a worker.

--- a/packages/dispatch/src/WorkerTime.ts
+++ b/packages/dispatch/src/WorkerTime.ts
@@ -3,20 +3,31 @@
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import { leaseMarginMs, workerClockDrift } from "./constants";
 
+/** A sample is replaced by any other after this time, or by one that is lower by more than an answer can be late. */
+const sampleValidityMs = 1_000;
+const longestAnswerDelayMs = 1_000;
+
+interface ClockSample {
+    readonly offset: Milliseconds;
+    readonly at: Milliseconds;
+}
+
 export class WorkerTime {
-    private offset: Milliseconds | undefined;
+    /** The sample whose answer was read with the least delay lately; delays only lower a sample. */
+    private best: ClockSample | undefined;
     private possibleUntil: Milliseconds = 0;
 
     constructor(private readonly clock: Clock) {}
 
     /** False until the worker reported its clock. */
     get isKnown(): boolean {
-        return this.offset !== undefined;
+        return this.best !== undefined;
     }
 
     /** Estimate of the worker's clock now. */
     now(): Milliseconds {
-        return this.clock.now() + (this.offset ?? 0);
+        const now = this.clock.now();
+        return now + (this.best ? getLowestOffset(this.best, now) : 0);
     }
 
     /** Time on the owner's clock until which runs may continue while the worker is unresponsive. */
@@ -25,7 +36,11 @@
     }
 
     recordClock(workerClock: Milliseconds): void {
-        this.offset = workerClock - this.clock.now();
+        const at = this.clock.now();
+        const offset = workerClock - at;
+        if (!this.best || isBetter(offset, this.best, at)) {
+            this.best = { offset, at };
+        }
     }
 
     /** Records a lease or start deadline of `length` sent at `sentAt`, with a margin for a slow worker clock. */
@@ -34,3 +49,12 @@
         this.possibleUntil = Math.max(this.possibleUntil, until);
     }
 }
+
+/** The lowest difference that a worker's clock can have by now, since it may run slow. */
+const getLowestOffset = ({ offset, at }: ClockSample, now: Milliseconds): Milliseconds =>
+    offset - (now - at) * workerClockDrift;
+
+const isBetter = (offset: Milliseconds, best: ClockSample, now: Milliseconds): boolean =>
+    now - best.at > sampleValidityMs
+    || offset >= getLowestOffset(best, now)
+    || offset < best.offset - longestAnswerDelayMs;
