Release the resources of a worker's run once

Callers could see tasks refused, or placed on a worker that is already full: a run added for a task that the table of a worker's runs already held kept the resources of the earlier run counted for good, and a run removed twice released its resources twice, or removed the later run of its task.

Change: adding a run releases the one that it replaces, and only the run that the table holds is removed.

--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -62,7 +62,12 @@
         return this.getAll().some(run => !run.request);
     }
 
+    /** Adds a run; it replaces an earlier one of its task. */
     add(run: Run): void {
+        const replaced = this.runs.get(run.task);
+        if (replaced) {
+            this.remove(replaced);
+        }
         this.runs.set(run.task, run);
         if (run.request) {
             this.usedResources = addResources(this.usedResources, run.request);
@@ -77,7 +82,11 @@
         }
     }
 
+    /** Removes a run unless it was removed or replaced before. */
     remove(run: Run): void {
+        if (this.runs.get(run.task) !== run) {
+            return;
+        }
         this.runs.delete(run.task);
         if (run.request) {
             this.usedResources = subtractResources(this.usedResources, run.request);
