Find a task's worker in an index instead of scanning the zone

Cause: a placement copied the list of all workers of the zone and looked at each, for each task that the pass considered (up to 12 jobs that do not fit, and each one placed), at each end of a run and every 20 ms. Free resources were computed anew at each look. The cost of a task start grew with the workers and with the waiting jobs, and the starts per second grow with the workers as well, so one owner's process ran out of processor time in a large zone.

Change: an index keeps the workers of each service in ascending order of their free processors, and moves a worker when its runs, its room or its service change. A worker's free resources are kept.

--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -8,6 +8,7 @@
 import { fits } from "./types";
 import type { ConnectWorker, FreeCapacity, JobRequest, Resources, WorkerAnnouncement, WorkerId } from "./types";
 import type { ChooseWorker } from "./workerChoice";
+import { WorkerIndex } from "./WorkerIndex";
 import { WorkerRecord } from "./WorkerRecord";
 import { WorkerSession } from "./WorkerSession";
 
@@ -35,6 +36,7 @@
 
 export class OwnedWorkers {
     private readonly workers = new Map<WorkerId, OwnedWorker>();
+    private readonly index = new WorkerIndex();
 
     constructor(private readonly options: OwnedWorkersOptions) {}
 
@@ -94,8 +96,7 @@
 
     choose(service: string, needed: Resources, avoided: readonly WorkerSession[]): WorkerSession | undefined {
         return this.options.choose({
-            sessions: [...this.workers.values()].map(worker => worker.session),
-            service,
+            sessions: this.index.findWithFree(service, needed.millicores),
             needed,
             avoided,
             getPenalty: session => this.workers.get(session.id)?.record.getPenalty() ?? 0,
@@ -125,6 +126,7 @@
     close(): void {
         this.workers.forEach(worker => worker.session.close());
         this.workers.clear();
+        this.index.clear();
     }
 
     private pause(session: WorkerSession, pauseMs: Milliseconds): void {
@@ -142,14 +144,17 @@
             onEnd: (run, outcome) => this.options.onEnd(session, run, outcome),
             onFound: run => this.options.onFound(session, run),
             onStandstill: (run, percent) => this.options.onStandstill(session, run, percent),
+            onFreeChange: () => this.index.update(session),
             onRemoved: () => this.remove(session),
         });
         this.workers.set(announcement.id, { session, record: new WorkerRecord(this.options.clock) });
+        this.index.add(session);
     }
 
     private remove(session: WorkerSession): void {
         if (this.workers.get(session.id)?.session === session) {
             this.workers.delete(session.id);
+            this.index.remove(session);
             this.options.logger.info("worker removed", { worker: session.id });
         }
     }
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -41,6 +41,9 @@
     private usedResources: Resources = { millicores: 0, memoryMebibytes: 0, accelerators: 0 };
     private unknownRuns = 0;
 
+    /** `onUsedChange` is called when the used resources changed. */
+    constructor(private readonly onUsedChange: () => void) {}
+
     get size(): number {
         return this.runs.size;
     }
@@ -71,7 +74,7 @@
         }
         this.runs.set(run.task, run);
         if (run.request) {
-            this.usedResources = addResources(this.usedResources, run.request);
+            this.setUsed(addResources(this.usedResources, run.request));
         }
         else {
             this.unknownRuns += 1;
@@ -83,7 +86,7 @@
         if (!run.request) {
             run.request = request;
             this.unknownRuns -= 1;
-            this.usedResources = addResources(this.usedResources, request);
+            this.setUsed(addResources(this.usedResources, request));
         }
     }
 
@@ -94,7 +97,7 @@
         }
         this.runs.delete(run.task);
         if (run.request) {
-            this.usedResources = subtractResources(this.usedResources, run.request);
+            this.setUsed(subtractResources(this.usedResources, run.request));
         }
         else {
             this.unknownRuns -= 1;
@@ -117,4 +120,9 @@
                 : run.state === "uncertain" && sentClock > run.startDeadline;
         });
     }
+
+    private setUsed(used: Resources): void {
+        this.usedResources = used;
+        this.onUsedChange();
+    }
 }
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -30,7 +30,8 @@
 
 export class WorkerSession {
     private announced: WorkerAnnouncement;
-    private readonly runs = new RunTable();
+    private readonly runs = new RunTable(() => this.updateFree());
+    private freeResources: Resources;
     private readonly lists: ListReader;
     private readonly workerTime: WorkerTime;
     private reachable = false;
@@ -43,6 +44,7 @@
 
     constructor(private readonly options: WorkerSessionOptions) {
         this.announced = options.announcement;
+        this.freeResources = options.announcement.room;
         this.workerTime = new WorkerTime(options.clock);
         this.paused = new WorkerPause(options.clock);
         this.lists = new ListReader({
@@ -74,12 +76,12 @@
     }
 
     get free(): Resources {
-        return subtractResources(this.announced.room, this.runs.used);
+        return this.freeResources;
     }
 
     /** True when the task fits beside the runs that are, or may be, in progress. */
     hasCapacity(needed: Resources): boolean {
-        return fits(this.free, needed);
+        return fits(this.freeResources, needed);
     }
 
     /** Sets the request of a run that an earlier owner started, and counts its resources. */
@@ -89,6 +91,7 @@
 
     update(announcement: WorkerAnnouncement): void {
         this.announced = announcement;
+        this.updateFree();
     }
 
     /** Places no tasks on the worker for `length` milliseconds. */
@@ -134,6 +137,11 @@
         this.options.driver.close();
     }
 
+    private updateFree(): void {
+        this.freeResources = subtractResources(this.announced.room, this.runs.used);
+        this.options.onFreeChange();
+    }
+
     private orderStop(run: Run): void {
         run.stopOrderedAt = this.options.clock.now();
         this.options.metrics.count("anvilmux_stop_orders_total");
--- a/packages/dispatch/src/workerSessionOptions.ts
+++ b/packages/dispatch/src/workerSessionOptions.ts
@@ -20,6 +20,8 @@
     readonly onStandstill: (run: Run, percent: number) => void;
     /** Called when the worker listed its runs for the first time, became reachable, or became unreachable. */
     readonly onChange: () => void;
+    /** Called when the worker's service or its free resources may have changed. */
+    readonly onFreeChange: () => void;
     /** Called when the worker refused `fencingToken` because it had accepted a higher one. */
     readonly onFenced: (fencingToken: number) => void;
     /** Called after the session ended: another worker answers at the address, or the worker left and has no runs. */
--- a/packages/dispatch/tests/RunTable.test.ts
+++ b/packages/dispatch/tests/RunTable.test.ts
@@ -16,7 +16,7 @@
 
 describe("table of a worker's runs", () => {
     test("a found run is unknown until its request is set", () => {
-        const table = new RunTable();
+        const table = new RunTable(() => undefined);
         const found = newKnownRun("a", 1, undefined);
         table.add(found);
         table.add(newKnownRun("b", 1, newRequest("b", 2_000)));
@@ -27,7 +27,7 @@
     });
 
     test("an unknown run that ended is no longer counted, also when it is removed twice", () => {
-        const table = new RunTable();
+        const table = new RunTable(() => undefined);
         const [first, second] = [newKnownRun("a", 1, undefined), newKnownRun("b", 1, undefined)];
         [first, second].forEach(run => table.add(run));
         table.remove(first);
@@ -38,7 +38,7 @@
     });
 
     test("resources are released once, when a run is removed twice or replaced by a later run of its task", () => {
-        const table = new RunTable();
+        const table = new RunTable(() => undefined);
         const request = newRequest("a", 2_000);
         const [first, second] = [newKnownRun("a", 1, request), newKnownRun("a", 2, request)];
         table.add(first);
