Answers name the submission that they answer

Seen by callers: 503, which promises that no task of the job ran or will run, for jobs whose tasks were started.

Cause: an answer carried only the job's id, and PendingJobs took it when the job was with that owner. A job can be with an owner again: submitted to A, to B when A's claim is out of sight, and to A when it is back, with the connection to A open all the time. The same holds for a caller that left and another that submits the job next at the same entry, for the reports that tasks are in another zone, which decide whether the next owner waits, and for the answers of other zones' schedulers.

Change: a submission to an owner or to another zone has a number, and answers and reports name it. Others are ignored. Messages without a number, from an earlier release, are taken as before.

Ruled out, by reading: refusals by the entry itself, which it gives only to jobs that it never submitted, and a second owner's refusal, which is given only to submissions marked as the first.

Existing tests now pass the number of the submission they mean; they check the same.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -18,7 +18,7 @@
 } from "@anvilmux/dispatch";
 import type { ConnectWorker, Fitness, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
 import { ControlLinks, OwnerLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
-import type { EntryMember, FromPeer, ZoneOwner } from "@anvilmux/fleet";
+import type { EntryMember, FromPeer, ToPeer, ZoneOwner } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
 import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
@@ -209,7 +209,7 @@
             onWorkers: announcements => this.handleWorkers(announcements),
             onPeerDisconnected: peerId => this.pendingJobs.handleOwnerDisconnected(peerId),
             onSubmit: (submitter, message, reply) => {
-                this.handleSubmit(message.request, submitter, reply);
+                this.handleSubmit(message, submitter, reply);
             },
             onRemoteAcknowledged: (submitter, message) =>
                 this.scheduler?.handleRemoteAcknowledgement(message.id, submitter),
@@ -218,17 +218,22 @@
         });
     }
 
-    private handleSubmit(request: JobRequest, submitter: string, reply: (message: FromPeer) => void): void {
-        const answer = (jobAnswer: JobAnswer) => reply({ type: "answer", id: request.id, answer: jobAnswer });
+    private handleSubmit(
+        { request, submission }: Extract<ToPeer, { type: "submit"; }>,
+        submitter: string,
+        reply: (message: FromPeer) => void,
+    ): void {
+        const { id } = request;
+        const answer = (jobAnswer: JobAnswer) => reply({ type: "answer", id, submission, answer: jobAnswer });
         if (this.scheduler) {
             this.scheduler.submit(request, {
                 key: submitter,
                 answer,
                 announceRemoteTasks: () => {
-                    reply({ type: "away", id: request.id });
+                    reply({ type: "away", id, submission });
                     return false;
                 },
-                announceNoRemoteTasks: () => reply({ type: "back", id: request.id }),
+                announceNoRemoteTasks: () => reply({ type: "back", id, submission }),
             });
         }
         else if (request.spilled) {
@@ -244,7 +249,7 @@
         }
         return ownerId === this.self.id ? this.getLocalOwnerLink() : {
             id: ownerId,
-            submit: request => this.mesh.send(ownerId, { type: "submit", request }),
+            submit: (request, submission) => this.mesh.send(ownerId, { type: "submit", request, submission }),
             cancel: id => this.mesh.send(ownerId, { type: "cancel", id }),
         };
     }
@@ -253,13 +258,15 @@
         const { id } = this.self;
         return {
             id,
-            submit: request => {
+            submit: (request, submission) => {
+                const mark = (hasRemoteTasks: boolean) =>
+                    this.pendingJobs.markRemoteTasks(id, request.id, hasRemoteTasks, submission);
                 this.scheduler?.submit(request, {
                     key: id,
-                    answer: answer => this.pendingJobs.handleAnswer(id, request.id, answer),
+                    answer: answer => this.pendingJobs.handleAnswer(id, request.id, answer, submission),
                     // `pendingJobs` outlives the scheduler when ownership moves to another entry.
-                    announceRemoteTasks: () => this.pendingJobs.markRemoteTasks(id, request.id, true),
-                    announceNoRemoteTasks: () => void this.pendingJobs.markRemoteTasks(id, request.id, false),
+                    announceRemoteTasks: () => mark(true),
+                    announceNoRemoteTasks: () => void mark(false),
                 });
                 return this.scheduler !== undefined;
             },
@@ -295,7 +302,8 @@
             self: this.self,
             checker: this.checker,
             environment: { ...environment, logger },
-            onAnswer: (zone, id, answer) => this.scheduler?.handleRemoteAnswer(zone, id, answer),
+            onAnswer: (zone, id, answer, submission) =>
+                this.scheduler?.handleRemoteAnswer(zone, id, answer, submission),
             onOwnerDisconnected: zone => this.scheduler?.handleRemoteDisconnected(zone),
         });
     }
@@ -308,15 +316,15 @@
     private handleReply(peerId: string, message: FromPeer): void {
         switch (message.type) {
             case "answer":
-                this.pendingJobs.handleAnswer(peerId, message.id, message.answer);
+                this.pendingJobs.handleAnswer(peerId, message.id, message.answer, message.submission);
                 return;
             case "away":
-                if (this.pendingJobs.markRemoteTasks(peerId, message.id, true)) {
+                if (this.pendingJobs.markRemoteTasks(peerId, message.id, true, message.submission)) {
                     this.mesh.send(peerId, { type: "away-known", id: message.id });
                 }
                 return;
             case "back":
-                this.pendingJobs.markRemoteTasks(peerId, message.id, false);
+                this.pendingJobs.markRemoteTasks(peerId, message.id, false, message.submission);
         }
     }
 
--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -12,8 +12,8 @@
 /** Calls from this entry to the owner of the zone's workers. */
 export interface OwnerLink {
     readonly id: string;
-    /** False while the owner is unreachable. */
-    readonly submit: (request: JobRequest) => boolean;
+    /** False while the owner is unreachable. What the owner reports on the job names the number `submission`. */
+    readonly submit: (request: JobRequest, submission: number) => boolean;
     readonly cancel: (id: JobId) => void;
 }
 
@@ -31,6 +31,8 @@
     /** Waiting callers; a caller that resubmits its job is added once more. */
     readonly waiters: Set<(answer: JobAnswer) => void>;
     ownerId: string | undefined;
+    /** Number of the latest submission to an owner, which differs from those of all other submissions of this entry. */
+    submission: number;
     everSubmitted: boolean;
     mayRunElsewhere: boolean;
 }
@@ -38,6 +40,7 @@
 export class PendingJobs {
     private readonly jobs = new Map<JobId, PendingJob>();
     private readonly unsubscribe: Unsubscribe;
+    private submissionCount = 0;
 
     constructor(private readonly options: PendingJobsOptions) {
         this.unsubscribe = options.timers.every(schedulerTickMs, () => this.tick());
@@ -65,6 +68,7 @@
                 arrivedAt: this.options.clock.now(),
                 waiters: new Set(),
                 ownerId: undefined,
+                submission: 0,
                 everSubmitted: false,
                 mayRunElsewhere: false,
             };
@@ -75,22 +79,31 @@
         return () => this.removeWaiter(request.id, waiter);
     }
 
-    /** Passes an owner's answer to the callers; ignored unless the job is with that owner. */
-    handleAnswer(ownerId: string, id: JobId, answer: JobAnswer): void {
-        const job = this.jobs.get(id);
-        if (!job || job.ownerId !== ownerId) {
-            return;
+    /**
+     * Passes an owner's answer to the callers; ignored unless it answers the latest submission of the job to that
+     * owner. A job can be with an owner again, after another owner had it or for another caller, while an answer to an
+     * earlier submission is still on its way.
+     */
+    handleAnswer(ownerId: string, id: JobId, answer: JobAnswer, submission: number | undefined): void {
+        const job = this.findSubmitted(ownerId, id, submission);
+        if (job) {
+            this.answer(job, answer);
         }
-        this.answer(job, answer);
     }
 
     /**
      * Records that an owner is about to forward tasks of the job to another zone, or that none of them is in another
-     * zone any longer. False when the job is not with that owner, which must then not forward any.
+     * zone any longer. False unless it reports on the latest submission of the job to that owner, which must then not
+     * forward any.
      */
-    markRemoteTasks(ownerId: string, id: JobId, hasRemoteTasks: boolean): boolean {
-        const job = this.jobs.get(id);
-        if (job?.ownerId !== ownerId) {
+    markRemoteTasks(
+        ownerId: string,
+        id: JobId,
+        hasRemoteTasks: boolean,
+        submission: number | undefined,
+    ): boolean {
+        const job = this.findSubmitted(ownerId, id, submission);
+        if (!job) {
             return false;
         }
         job.mayRunElsewhere = hasRemoteTasks;
@@ -112,6 +125,13 @@
         this.handleOwnerChange();
     }
 
+    /** An owner of an earlier release names no submission. */
+    private findSubmitted(ownerId: string, id: JobId, submission: number | undefined): PendingJob | undefined {
+        const job = this.jobs.get(id);
+        const isLatest = submission === undefined || job?.submission === submission;
+        return job?.ownerId === ownerId && isLatest ? job : undefined;
+    }
+
     private submitToOwner(job: PendingJob): void {
         const owner = this.options.getOwner();
         if (!owner || job.ownerId === owner.id) {
@@ -128,7 +148,9 @@
         // Set before submitting: an owner in this process may answer at once.
         job.ownerId = owner.id;
         job.everSubmitted = true;
-        if (!owner.submit(request)) {
+        this.submissionCount += 1;
+        job.submission = this.submissionCount;
+        if (!owner.submit(request, job.submission)) {
             job.ownerId = undefined;
         }
     }
--- a/packages/dispatch/src/ScheduledJob.ts
+++ b/packages/dispatch/src/ScheduledJob.ts
@@ -18,6 +18,13 @@
     readonly avoided: WorkerSession[];
 }
 
+/** Tasks that were forwarded to another zone together. */
+export interface RemoteTasks {
+    /** Number under which they were forwarded; their answer names it. */
+    readonly submission: number;
+    readonly tasks: readonly ScheduledTask[];
+}
+
 export interface ScheduledJob {
     readonly request: JobRequest;
     readonly receivedAt: Milliseconds;
@@ -33,7 +40,7 @@
     /** Whether the submitter acknowledged that tasks may run in other zones; none is forwarded before that. */
     remoteAcknowledgement: "no" | "asked" | "yes";
     /** Tasks forwarded to other zones, by zone. */
-    readonly remoteTasks: Map<string, readonly ScheduledTask[]>;
+    readonly remoteTasks: Map<string, RemoteTasks>;
     /** True once it was answered or cancelled. */
     closed: boolean;
     /** Until then, runs started by a former owner may continue without being listed here. */
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -143,10 +143,10 @@
     }
 
     /** Handles the outcome of tasks forwarded to another zone. */
-    handleRemoteAnswer(zone: string, id: JobId, answer: JobAnswer): void {
+    handleRemoteAnswer(zone: string, id: JobId, answer: JobAnswer, submission: number | undefined): void {
         const job = this.jobs.get(id);
         if (job) {
-            this.spiller.handleAnswer(zone, job, answer);
+            this.spiller.handleAnswer(zone, job, answer, submission);
         }
     }
 
--- a/packages/dispatch/src/TaskSpiller.ts
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -5,7 +5,7 @@
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
 import { chooseSpill } from "./spill";
 import type { SpillChoice } from "./spill";
-import type { JobAnswer, RemoteScheduler } from "./types";
+import type { JobAnswer, JobRequest, RemoteScheduler } from "./types";
 
 export interface TaskSpillerOptions {
     /** The reachable schedulers of other zones, the one with the most free capacity first. */
@@ -16,6 +16,8 @@
 }
 
 export class TaskSpiller {
+    private submissionCount = 0;
+
     constructor(private readonly options: TaskSpillerOptions, private readonly events: TaskEvents) {}
 
     /** Forwards as many waiting tasks as other zones have capacity for, once the submitter acknowledged that. */
@@ -30,12 +32,16 @@
         }
     }
 
-    /** Handles the outcome of the tasks forwarded to `zone`. */
-    handleAnswer(zone: string, job: ScheduledJob, answer: JobAnswer): void {
-        const tasks = job.remoteTasks.get(zone);
-        if (!tasks) {
+    /**
+     * Handles the outcome of the tasks forwarded to `zone` under the number `submission`. An answer to tasks that were
+     * forwarded for an earlier submission of the job, which was cancelled, is ignored. An earlier release names none.
+     */
+    handleAnswer(zone: string, job: ScheduledJob, answer: JobAnswer, submission: number | undefined): void {
+        const forwarded = job.remoteTasks.get(zone);
+        if (!forwarded || (submission !== undefined && forwarded.submission !== submission)) {
             return;
         }
+        const { tasks } = forwarded;
         job.remoteTasks.delete(zone);
         if (answer.kind !== "completed" && answer.kind !== "refused") {
             this.events.onFinish(job, answer);
@@ -86,20 +92,22 @@
             return;
         }
         const elapsed = this.options.clock.now() - job.receivedAt;
-        const isSent = remote.submit({
+        const request: JobRequest = {
             ...job.request,
             tasks: tasks.map(task => task.request),
             objectiveMs: job.request.objectiveMs - elapsed,
             remainingMs: job.request.remainingMs - elapsed,
             spilled: true,
-        }, { ...remote.free, [service]: freeAfter });
-        if (!isSent) {
+        };
+        this.submissionCount += 1;
+        const submission = this.submissionCount;
+        if (!remote.submit(request, submission, { ...remote.free, [service]: freeAfter })) {
             return;
         }
         for (const task of tasks) {
             task.state = "away";
         }
-        job.remoteTasks.set(remote.zone, tasks);
+        job.remoteTasks.set(remote.zone, { submission, tasks });
         job.waiting -= tasks.length;
         job.started += tasks.length;
         this.log(id, tasks, remote, elapsed);
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -70,8 +70,11 @@
 export interface RemoteScheduler {
     readonly zone: string;
     readonly free: FreeCapacity;
-    /** Forwards tasks; `freeAfter` is the capacity that then remains free. False while the scheduler is unreachable. */
-    readonly submit: (request: JobRequest, freeAfter: FreeCapacity) => boolean;
+    /**
+     * Forwards tasks; `freeAfter` is the capacity that then remains free. The answer names the number `submission`.
+     * False while the scheduler is unreachable.
+     */
+    readonly submit: (request: JobRequest, submission: number, freeAfter: FreeCapacity) => boolean;
     readonly cancel: (id: JobId) => void;
 }
 
--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -9,6 +9,7 @@
 class PendingJobsFixture {
     readonly time = new VirtualTime();
     readonly submitted: JobRequest[] = [];
+    readonly submissions: number[] = [];
     readonly cancelled: JobId[] = [];
     readonly answers = new Map<string, JobAnswer>();
     ownerId: string | undefined = "owner-1";
@@ -24,10 +25,16 @@
         return this.pendingJobs.accept(newRequest(id), answer => this.answers.set(id, answer));
     }
 
+    /** Makes another entry the owner, or none. */
+    changeOwner(ownerId: string | undefined): void {
+        this.ownerId = ownerId;
+        this.pendingJobs.handleOwnerChange();
+    }
+
     private getOwner(): OwnerLink | undefined {
         return this.ownerId === undefined ? undefined : {
             id: this.ownerId,
-            submit: request => this.submitted.push(request) > 0,
+            submit: (request, submission) => this.submitted.push(request) === this.submissions.push(submission),
             cancel: id => this.cancelled.push(id),
         };
     }
@@ -48,6 +55,8 @@
     spilled: false,
 });
 
+const refusal: JobAnswer = { kind: "refused", reason: "no room in time", retryAfterMs: 1_000 };
+
 describe("pending jobs", () => {
     test("a job is resubmitted to the next owner, marked as resubmitted and with its remaining time", async () => {
         const fixture = new PendingJobsFixture();
@@ -59,9 +68,9 @@
             [false, 2_000],
             [true, 1_900],
         ]);
-        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "failed", reason: "old news" });
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "failed", reason: "old news" }, 1);
         expect(fixture.answers.size).toBe(0);
-        fixture.pendingJobs.handleAnswer("owner-2", toJobId("a"), { kind: "completed" });
+        fixture.pendingJobs.handleAnswer("owner-2", toJobId("a"), { kind: "completed" }, 2);
         expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
     });
 
@@ -69,9 +78,9 @@
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
         fixture.accept("b");
-        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true);
-        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("b"), true);
-        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("b"), false);
+        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, 1);
+        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("b"), true, 2);
+        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("b"), false, 2);
         fixture.ownerId = "owner-2";
         fixture.pendingJobs.handleOwnerChange();
         expect(fixture.submitted.slice(2).map(request => request.mayRunElsewhere)).toEqual([true, false]);
@@ -80,10 +89,45 @@
     test("only the owner that has the job may forward tasks of it to another zone", () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
-        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true)).toBe(true);
+        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, 1)).toBe(true);
         fixture.ownerId = "owner-2";
         fixture.pendingJobs.handleOwnerChange();
-        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true)).toBe(false);
+        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, 1)).toBe(false);
+    });
+
+    test("a refusal of an earlier submission is not taken for the answer to the present one", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.changeOwner("owner-2");
+        fixture.changeOwner("owner-1");
+        const [first, , third] = fixture.submissions;
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), refusal, first!);
+        expect(fixture.answers.size).toBe(0);
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "completed" }, third!);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
+    test("a refusal meant for a caller that left is not passed to the caller that submits the job next", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a")();
+        fixture.accept("a");
+        const [first, second] = fixture.submissions;
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), refusal, first!);
+        expect(fixture.answers.size).toBe(0);
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "completed" }, second!);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
+    test("a report on an earlier submission does not hide that tasks may run in another zone", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.changeOwner("owner-2");
+        fixture.changeOwner("owner-1");
+        const [first, , third] = fixture.submissions;
+        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, third!)).toBe(true);
+        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), false, first!)).toBe(false);
+        fixture.changeOwner("owner-2");
+        expect(fixture.submitted.at(-1)?.mayRunElsewhere).toBe(true);
     });
 
     test("a job is refused while there is no owner", async () => {
--- a/packages/dispatch/tests/spilling.test.ts
+++ b/packages/dispatch/tests/spilling.test.ts
@@ -10,17 +10,18 @@
         const scheduler = fixture.newScheduler(1);
         await fixture.time.advance(20);
         const sent: JobRequest[] = [];
+        const submissions: number[] = [];
         fixture.remoteSchedulers = [{
             zone: "eire-cork",
             free: { desk: [16_000] },
-            submit: request => sent.push(request) > 0,
+            submit: (request, submission) => sent.push(request) === submissions.push(submission),
             cancel: () => undefined,
         }];
-        return { fixture, scheduler, sent };
+        return { fixture, scheduler, sent, submissions };
     };
 
     test("tasks without free capacity are forwarded to a zone with capacity once the submitter is informed", async () => {
-        const { fixture, scheduler, sent } = await newSpillFixture();
+        const { fixture, scheduler, sent, submissions } = await newSpillFixture();
         fixture.submit(scheduler, fixture.newJob("a", { tasks: 4 }));
         await fixture.time.advance(10);
         expect(sent[0]?.tasks.map(task => task.name)).toEqual(["a.2", "a.3"]);
@@ -28,7 +29,7 @@
         expect(fixture.remoteJobs).toEqual(["a"]);
         await fixture.time.advance(150);
         expect(fixture.answers.get("a")).toBeUndefined();
-        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, { kind: "completed" });
+        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, { kind: "completed" }, submissions[0]!);
         expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
     });
 
@@ -57,26 +58,46 @@
     });
 
     test("tasks refused by another zone are queued again", async () => {
-        const { fixture, scheduler, sent } = await newSpillFixture();
+        const { fixture, scheduler, sent, submissions } = await newSpillFixture();
         fixture.submit(scheduler, fixture.newJob("a", { tasks: 4 }));
         await fixture.time.advance(10);
         fixture.remoteSchedulers = [];
-        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, { kind: "refused", reason: "full", retryAfterMs: 0 });
+        const refusal = { kind: "refused", reason: "full", retryAfterMs: 0 } as const;
+        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, refusal, submissions[0]!);
+        await fixture.time.advance(300);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
+    test("a refusal of tasks that were forwarded before the job was cancelled does not start them here", async () => {
+        const { fixture, scheduler, sent, submissions } = await newSpillFixture();
+        const request = fixture.newJob("a", { tasks: 3, runMs: 200, objectiveMs: 3_000 });
+        fixture.submit(scheduler, request);
+        await fixture.time.advance(10);
+        scheduler.cancel(request.id, "home", "its caller left");
+        await fixture.time.advance(60);
+        fixture.submit(scheduler, request);
+        await fixture.time.advance(10);
+        expect(sent.map(({ tasks }) => tasks.map(task => task.name))).toEqual([["a.2"], ["a.2"]]);
+        const refusal = { kind: "refused", reason: "full", retryAfterMs: 0 } as const;
+        scheduler.handleRemoteAnswer("eire-cork", request.id, refusal, submissions[0]!);
         await fixture.time.advance(300);
+        expect(fixture.startedTasks).not.toContain("a.2");
+        expect(sent).toHaveLength(2);
+        scheduler.handleRemoteAnswer("eire-cork", request.id, { kind: "completed" }, submissions[1]!);
         expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
     });
 
     test("the submitter is informed once the job has no more tasks in other zones", async () => {
-        const { fixture, scheduler, sent } = await newSpillFixture();
+        const { fixture, scheduler, sent, submissions } = await newSpillFixture();
         fixture.submit(scheduler, fixture.newJob("a", { tasks: 4, runMs: 200 }));
         await fixture.time.advance(10);
         expect([fixture.remoteJobs, fixture.returnedJobs]).toEqual([["a"], []]);
-        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, { kind: "completed" });
+        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, { kind: "completed" }, submissions[0]!);
         expect(fixture.returnedJobs).toEqual(["a"]);
     });
 
     test("no tasks are exchanged with other zones while ownership is being transferred", async () => {
-        const { fixture, scheduler, sent } = await newSpillFixture();
+        const { fixture, scheduler, sent, submissions } = await newSpillFixture();
         fixture.submit(scheduler, fixture.newJob("before", { tasks: 3 }));
         await fixture.time.advance(10);
         scheduler.prepareTransfer();
@@ -86,7 +107,7 @@
         expect(sent.map(request => request.id)).toEqual(["before"]);
         expect(fixture.answers.get("theirs")?.kind).toBe("refused");
         expect([scheduler.hasCrossZoneTasks, scheduler.getFreeCapacity()]).toEqual([true, {}]);
-        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, { kind: "completed" });
+        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, { kind: "completed" }, submissions[0]!);
         expect(scheduler.hasCrossZoneTasks).toBe(false);
         await fixture.time.advance(400);
         expect(fixture.answers.get("after")).toEqual({ kind: "completed" });
--- a/packages/fleet/src/OwnerLinks.ts
+++ b/packages/fleet/src/OwnerLinks.ts
@@ -10,7 +10,7 @@
     readonly self: EntryMember;
     readonly checker: ChannelChecker;
     readonly environment: LinkEnvironment;
-    readonly onAnswer: (zone: string, id: JobId, answer: JobAnswer) => void;
+    readonly onAnswer: (zone: string, id: JobId, answer: JobAnswer, submission: number | undefined) => void;
     readonly onOwnerDisconnected: (zone: string) => void;
 }
 
@@ -80,7 +80,7 @@
                 // The last capacity report was out of date; assume no free capacity until the next one.
                 remote.free = {};
             }
-            this.options.onAnswer(zone, message.id, message.answer);
+            this.options.onAnswer(zone, message.id, message.answer, message.submission);
         }
         else if (message.type === "room" && remote) {
             remote.free = message.free;
@@ -96,9 +96,9 @@
 const toRemoteScheduler = (zone: string, remote: RemoteOwner): RemoteScheduler => ({
     zone,
     free: remote.free,
-    submit: (request, freeAfter) => {
+    submit: (request, submission, freeAfter) => {
         remote.free = freeAfter;
-        return remote.link.send({ type: "submit", request });
+        return remote.link.send({ type: "submit", request, submission });
     },
     cancel: id => void remote.link.send({ type: "cancel", id }),
 });
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -50,17 +50,21 @@
     | { readonly type: "workers"; readonly workers: readonly WorkerAnnouncement[]; }
     /** First message on a connection between the owners of two zones. */
     | { readonly type: "zone-owner"; readonly id: string; readonly zone: string; }
-    | { readonly type: "submit"; readonly request: JobRequest; }
+    /**
+     * Messages to the sender about this job carry the number `submission`, which the sender never uses again; a sender
+     * of an earlier release gives none.
+     */
+    | { readonly type: "submit"; readonly request: JobRequest; readonly submission?: number; }
     /** The submitter acknowledges that tasks of its job may run in other zones. */
     | { readonly type: "away-known"; readonly id: JobId; }
     | { readonly type: "cancel"; readonly id: JobId; };
 
 /** Messages to the entry that opened the connection. */
 export type FromPeer =
-    | { readonly type: "answer"; readonly id: JobId; readonly answer: JobAnswer; }
+    | { readonly type: "answer"; readonly id: JobId; readonly submission?: number; readonly answer: JobAnswer; }
     /** Tasks of the job will be forwarded to another zone once the submitter has acknowledged with `away-known`. */
-    | { readonly type: "away"; readonly id: JobId; }
+    | { readonly type: "away"; readonly id: JobId; readonly submission?: number; }
     /** No task of the job is in another zone any longer. */
-    | { readonly type: "back"; readonly id: JobId; }
+    | { readonly type: "back"; readonly id: JobId; readonly submission?: number; }
     /** The free capacity of the sender's zone; sent only to owners of other zones. */
     | { readonly type: "room"; readonly free: FreeCapacity; };
--- a/packages/fleet/tests/ZoneMesh.test.ts
+++ b/packages/fleet/tests/ZoneMesh.test.ts
@@ -100,9 +100,9 @@
 
     test("exchange jobs, replies and acknowledgements of remote tasks", async () => {
         const [first, second] = await startPair();
-        expect(first.mesh.send("b", { type: "submit", request: newRequest("job1") })).toBe(true);
+        expect(first.mesh.send("b", { type: "submit", request: newRequest("job1"), submission: 1 })).toBe(true);
         await waitUntil(() => second.submitted.length === 1);
-        second.reply({ type: "away", id: toJobId("job1") });
+        second.reply({ type: "away", id: toJobId("job1"), submission: 1 });
         await waitUntil(() => first.replies.length === 1);
         first.mesh.send("b", { type: "away-known", id: toJobId("job1") });
         first.mesh.send("b", { type: "cancel", id: toJobId("job1") });
@@ -112,7 +112,7 @@
 
     test("a stopped entry is detected at both ends of its connections", async () => {
         const [first, second] = await startPair();
-        first.mesh.send("b", { type: "submit", request: newRequest("job1") });
+        first.mesh.send("b", { type: "submit", request: newRequest("job1"), submission: 1 });
         await waitUntil(() => second.submitted.length === 1);
         first.mesh.stop();
         await waitUntil(() =>
