Keep the queue of waiting jobs sorted in place

Cause: each job that entered or left the queue, and each placement pass, copied or filtered the whole queue and called a function for each job in it, so a task start cost more the more jobs waited, which is when there is no time to spare.

Change: a job's place is found by binary search, a set tells whether it is queued, and a placement pass removes only the jobs that it visited. Jobs forwarded by other zones are kept in a set of their own, since each pass refuses those left. A pass visits each job once also when the visited one is removed meanwhile.

--- a/packages/dispatch/src/JobTable.ts
+++ b/packages/dispatch/src/JobTable.ts
@@ -12,7 +12,9 @@
 export class JobTable {
     private readonly jobs = new Map<JobId, ScheduledJob>();
     private readonly tasks = new Map<TaskName, JobTask>();
-    private queue: ScheduledJob[] = [];
+    private readonly queue: ScheduledJob[] = [];
+    private readonly queued = new Set<ScheduledJob>();
+    private readonly queuedFromOtherZones = new Set<ScheduledJob>();
 
     get waitingCount(): number {
         return this.queue.length;
@@ -30,9 +32,18 @@
         return this.tasks.get(name);
     }
 
-    /** Jobs with waiting tasks, the most urgent first. */
-    getWaiting(): readonly ScheduledJob[] {
-        return this.queue;
+    /** Jobs with waiting tasks, the most urgent first. The job that is visited may be removed meanwhile. */
+    *getWaiting(): Iterable<ScheduledJob> {
+        for (let index = 0; index < this.queue.length;) {
+            const job = this.queue[index]!;
+            yield job;
+            index += this.queue[index] === job ? 1 : 0;
+        }
+    }
+
+    /** Jobs with waiting tasks that other zones forwarded. */
+    getWaitingFromOtherZones(): readonly ScheduledJob[] {
+        return [...this.queuedFromOtherZones];
     }
 
     add(job: ScheduledJob): void {
@@ -44,20 +55,50 @@
     remove(job: ScheduledJob): void {
         this.jobs.delete(job.request.id);
         job.tasks.forEach(task => this.tasks.delete(task.request.name));
-        this.queue = this.queue.filter(other => other !== job);
+        this.dequeue(job);
     }
 
     /** Inserts a job with waiting tasks into the queue by urgency. */
     enqueue(job: ScheduledJob): void {
-        if (!this.queue.includes(job)) {
-            const position = this.queue.findLastIndex(other => compareUrgency(other, job) <= 0);
-            this.queue = this.queue.toSpliced(position + 1, 0, job);
+        if (this.queued.has(job)) {
+            return;
+        }
+        this.queue.splice(this.findIndex(other => compareUrgency(other, job) > 0), 0, job);
+        this.queued.add(job);
+        if (job.request.spilled) {
+            this.queuedFromOtherZones.add(job);
         }
     }
 
-    /** Removes jobs without waiting tasks from the queue. */
-    prune(): void {
-        this.queue = this.queue.filter(job => job.waiting > 0);
+    /** Removes a job from the queue when none of its tasks waits. */
+    prune(job: ScheduledJob): void {
+        if (job.waiting === 0) {
+            this.dequeue(job);
+        }
+    }
+
+    private dequeue(job: ScheduledJob): void {
+        if (this.queued.delete(job)) {
+            const firstOfUrgency = this.findIndex(other => compareUrgency(other, job) >= 0);
+            this.queue.splice(this.queue.indexOf(job, firstOfUrgency), 1);
+            this.queuedFromOtherZones.delete(job);
+        }
+    }
+
+    /** Index of the first queued job of those, at the end of the queue, that match; the queue's length if none does. */
+    private findIndex(matches: (job: ScheduledJob) => boolean): number {
+        let low = 0;
+        let high = this.queue.length;
+        while (low < high) {
+            const middle = (low + high) >>> 1;
+            if (matches(this.queue[middle]!)) {
+                high = middle;
+            }
+            else {
+                low = middle + 1;
+            }
+        }
+        return low;
     }
 }
 
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -100,7 +100,7 @@
         }
         this.jobs.add(job);
         job.tasks.forEach(task => this.adopt(job, task));
-        this.jobs.prune();
+        this.jobs.prune(job);
         this.schedulePlacement();
     }
 
@@ -219,10 +219,10 @@
                 this.spill(job);
                 passedOver += job.waiting > 0 ? 1 : 0;
             }
+            this.jobs.prune(job);
         }
-        this.jobs.prune();
-        this.jobs.getWaiting()
-            .filter(job => job.request.spilled && job.started === 0)
+        this.jobs.getWaitingFromOtherZones()
+            .filter(job => job.started === 0)
             .forEach(job => this.abortJob(job));
     }
 
@@ -270,7 +270,7 @@
         const owner = this.jobs.findTask(run.task);
         if (owner) {
             this.adopt(owner.job, owner.task);
-            this.jobs.prune();
+            this.jobs.prune(owner.job);
             return;
         }
         this.options.timers.after(orphanGraceMs, () => {
