An owner that gets a job back from another owner does not refuse it as not run

Seen by callers: 503 for jobs whose tasks another owner had started.

Cause: an entry that submits a job to the next owner does not withdraw it from the one before. When ownership returns, the first owner still has the job and took over only its new submitter; that the job came back as resubmitted, and that tasks of it may run in another zone, was dropped. An owner keeps its jobs when it raises its token over another owner's, and a connection lost in one direction hides it from an entry that stays connected to it, so many jobs at once can take this way. The same loss let it start a task while another zone could still run it.

Change: a job that is present takes these facts from a later submission, and waits as a new one would. The entry says whether another owner had the job: when only a connection was lost for a moment, and nobody else had it, a job that never started is refused as before, which is true and spares its caller a resend.

--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -33,7 +33,8 @@
     ownerId: string | undefined;
     /** Number of the latest submission to an owner, which differs from those of all other submissions of this entry. */
     submission: number;
-    everSubmitted: boolean;
+    /** All owners to which it was submitted. */
+    readonly ownerIds: Set<string>;
     mayRunElsewhere: boolean;
 }
 
@@ -69,7 +70,7 @@
                 waiters: new Set(),
                 ownerId: undefined,
                 submission: 0,
-                everSubmitted: false,
+                ownerIds: new Set(),
                 mayRunElsewhere: false,
             };
             this.jobs.set(request.id, job);
@@ -140,14 +141,15 @@
         const elapsed = this.options.clock.now() - job.arrivedAt;
         const request: JobRequest = {
             ...job.request,
-            resubmitted: job.everSubmitted,
+            resubmitted: job.ownerIds.size > 0,
+            hadOtherOwner: [...job.ownerIds].some(id => id !== owner.id),
             mayRunElsewhere: job.mayRunElsewhere,
             objectiveMs: job.request.objectiveMs - elapsed,
             remainingMs: job.request.remainingMs - elapsed,
         };
         // Set before submitting: an owner in this process may answer at once.
         job.ownerId = owner.id;
-        job.everSubmitted = true;
+        job.ownerIds.add(owner.id);
         this.submissionCount += 1;
         job.submission = this.submissionCount;
         if (!owner.submit(request, job.submission)) {
@@ -198,7 +200,7 @@
                 this.cancelAtOwner(job);
                 this.answer(job, this.getUnfinishedAnswer(job, "the caller's deadline has passed"));
             }
-            else if (job.ownerId === undefined && age > ownerlessTimeoutMs && !job.everSubmitted) {
+            else if (job.ownerId === undefined && age > ownerlessTimeoutMs && job.ownerIds.size === 0) {
                 this.answer(job, this.getUnfinishedAnswer(job, "the zone's workers have no owner now"));
             }
             else if (job.ownerId === undefined) {
@@ -208,7 +210,7 @@
     }
 
     private getUnfinishedAnswer(job: PendingJob, reason: string): JobAnswer {
-        return job.everSubmitted
+        return job.ownerIds.size > 0
             ? { kind: "unknown", reason }
             : { kind: "refused", reason, retryAfterMs: refusalRetryMs };
     }
--- a/packages/dispatch/src/ScheduledJob.ts
+++ b/packages/dispatch/src/ScheduledJob.ts
@@ -26,7 +26,8 @@
 }
 
 export interface ScheduledJob {
-    readonly request: JobRequest;
+    /** As submitted last; a job that returns may have had runs at another owner meanwhile. */
+    request: JobRequest;
     readonly receivedAt: Milliseconds;
     /** Latest time at which its tasks should start; jobs are served in this order. */
     readonly startBy: Milliseconds;
@@ -87,6 +88,22 @@
     uncertainUntil,
 });
 
+/**
+ * Applies a later submission of a job that is present. What an earlier one said of possible runs remains true; a later
+ * one adds to it when another owner had the job meanwhile.
+ */
+export const applyResubmission = (job: ScheduledJob, request: JobRequest, uncertainUntil: Milliseconds): void => {
+    if (!(request.hadOtherOwner ?? request.resubmitted)) {
+        return;
+    }
+    job.request = {
+        ...job.request,
+        resubmitted: job.request.resubmitted || request.resubmitted,
+        mayRunElsewhere: job.request.mayRunElsewhere || request.mayRunElsewhere,
+    };
+    job.uncertainUntil = Math.max(job.uncertainUntil, uncertainUntil);
+};
+
 /** Marks a task as placed on a worker, where its run is ordered or already in progress. */
 export const markPlaced = (
     job: ScheduledJob,
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -15,7 +15,7 @@
 import { RunCompletionHandler } from "./RunCompletionHandler";
 import { getLowestRunNumber } from "./runNumbers";
 import type { Run, RunOutcome } from "./RunTable";
-import { getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
+import { applyResubmission, getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
 import { logAbortedJob, logPlacement, logStalledRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
@@ -80,7 +80,10 @@
             return;
         }
         const present = this.jobs.get(request.id);
+        const now = this.options.clock.now();
+        const uncertainUntil = getUncertaintyEnd(request, now, this.ownsSince);
         if (present && hasSameTasks(present.request, request)) {
+            applyResubmission(present, request, uncertainUntil);
             this.replaceSubmitter(present, submitter);
             return;
         }
@@ -91,8 +94,7 @@
             submitter.answer({ kind: "refused", reason: "the owner of the zone's workers changes", retryAfterMs: 0 });
             return;
         }
-        const now = this.options.clock.now();
-        const job = newScheduledJob(request, submitter, now, getUncertaintyEnd(request, now, this.ownsSince));
+        const job = newScheduledJob(request, submitter, now, uncertainUntil);
         const obstacle = this.workers.findPermanentObstacle(request);
         if (obstacle !== undefined) {
             this.answer(job, { kind: "failed", reason: obstacle });
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -43,6 +43,8 @@
     readonly remainingMs: Milliseconds;
     /** True when runs of its tasks may exist that this owner did not start. */
     readonly resubmitted: boolean;
+    /** True when it was submitted to another owner, too, which may have started it; absent in earlier releases. */
+    readonly hadOtherOwner?: boolean;
     /** True when a former owner forwarded tasks of it to another zone. */
     readonly mayRunElsewhere: boolean;
     /** True for tasks forwarded by the owner of another zone: started at once or refused, never forwarded again. */
--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -95,6 +95,20 @@
         expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, 1)).toBe(false);
     });
 
+    test("a resubmission reports whether another owner had the job", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.pendingJobs.handleOwnerDisconnected("owner-1");
+        fixture.changeOwner("owner-2");
+        fixture.changeOwner("owner-1");
+        expect(fixture.submitted.map(request => [request.resubmitted, request.hadOtherOwner])).toEqual([
+            [false, false],
+            [true, false],
+            [true, true],
+            [true, true],
+        ]);
+    });
+
     test("a refusal of an earlier submission is not taken for the answer to the present one", () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
