--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -8,24 +8,24 @@
 import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
 import { hashText } from "@anvilmux/common";
 import { ConfigurationHolder } from "@anvilmux/control";
-import {
-    capacityReportPeriodMs,
-    chooseBestFit,
-    PendingJobs,
-    QueueTable,
-    RelayedWorkers,
+import { capacityReportPeriodMs, PendingJobs, QueueTable, WorkerRelay, ZoneElection } from "@anvilmux/dispatch";
+import type {
+    ConnectWorker,
+    Fitness,
+    JobAnswer,
+    JobRequest,
+    OwnerLink,
     TaskScheduler,
-    WorkerRelay,
-    ZoneElection,
+    WorkerAnnouncement,
 } from "@anvilmux/dispatch";
-import type { ConnectWorker, Fitness, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
-import { ControlLinks, OwnerLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
-import type { EntryMember, FromPeer, ToPeer, ZoneOwner } from "@anvilmux/fleet";
+import { ControlLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
+import type { EntryMember, FromPeer, ToPeer } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
 import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
 import { getProcessorTime, LoopDelayMonitor } from "@anvilmux/telemetry";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { Environment } from "../environment";
+import { WorkerOwnership } from "./WorkerOwnership";
 
 export interface DispatchEntryOptions {
     readonly instanceId: InstanceId;
@@ -54,13 +54,9 @@
     private readonly pendingJobs: PendingJobs;
     private readonly election: ZoneElection;
     private readonly mesh: ZoneMesh;
-    private readonly relayedWorkers: RelayedWorkers;
+    private readonly ownership: WorkerOwnership;
     private readonly relay: WorkerRelay;
     private control: ControlLinks | undefined;
-    private scheduler: TaskScheduler | undefined;
-    private ownerLinks: OwnerLinks | undefined;
-    private owners: readonly ZoneOwner[] = [];
-    private lastCapacityReport = "";
     private queues = new QueueTable([]);
     private leaving = false;
     private transferDeadline: Milliseconds = 0;
@@ -99,17 +95,16 @@
             onClaim: claim => this.handleClaimChange(claim),
             onOwner: () => this.pendingJobs.handleOwnerChange(),
         });
-        this.relayedWorkers = new RelayedWorkers({
-            connect: options.connectWorker,
-            getRelays: () => this.mesh.getCandidates().filter(({ fitness }) => fitness === "ready").map(({ id }) => id),
-            send: (peerId, call) => this.mesh.send(peerId, { type: "worker-call", ...call }),
-            clock,
-            timers,
-            logger,
-            metrics,
-        });
         this.relay = new WorkerRelay({ connect: options.connectWorker, clock, timers });
         this.mesh = this.newMesh();
+        this.ownership = new WorkerOwnership({
+            ...options,
+            self: this.self,
+            checker: this.checker,
+            mesh: this.mesh,
+            getFencingToken: () => this.election.claim,
+            onFenced: fencingToken => this.election.handleFenced(fencingToken),
+        });
     }
 
     /** Rejects when the link port cannot be bound. */
@@ -124,7 +119,7 @@
             getConfigurationIndex: () => this.configurationHolder.index,
             onMembers: members => this.mesh.handleMembers(members),
             getClaim: () => this.election.claim,
-            onOwners: owners => this.handleOwners(owners),
+            onOwners: owners => this.ownership.handleOwners(owners),
             onWorkers: announcements => this.handleWorkers(announcements),
             onConfiguration: (index, envelope) => this.applyConfiguration(index, envelope),
         });
@@ -132,7 +127,7 @@
         const unsubscribers = [
             () => loopDelay.stop(),
             environment.timers.every(electionPeriodMs, () => this.election.update()),
-            environment.timers.every(capacityReportPeriodMs, () => this.reportFreeCapacity()),
+            environment.timers.every(capacityReportPeriodMs, () => this.ownership.reportFreeCapacity()),
         ];
         this.unsubscribe = () => unsubscribers.forEach(unsubscribe => unsubscribe());
         metrics.gauge("anvilmux_open_jobs", {}, () => this.pendingJobs.openJobs);
@@ -144,9 +139,8 @@
         this.unsubscribe();
         // Pending jobs are cancelled at their owner, so this comes before the connections are closed.
         this.pendingJobs.stop();
-        this.scheduler?.stop();
+        this.ownership.release();
         this.relay.stop();
-        this.ownerLinks?.stop();
         this.control?.stop();
         this.mesh.stop();
         this.checker.stop();
@@ -199,6 +193,10 @@
         this.mesh.announceState();
     }
 
+    private get scheduler(): TaskScheduler | undefined {
+        return this.ownership.scheduler;
+    }
+
     private getFitness(): Fitness {
         if (!this.isConfigured) {
             return "unfit";
@@ -222,14 +220,14 @@
             environment: { ...environment, logger },
             getState: () => ({ claim: this.election.claim, fitness: this.getFitness() }),
             onChange: () => {
-                this.relayedWorkers.handleRelaysChanged();
+                this.ownership.relayedWorkers.handleRelaysChanged();
                 this.election.update();
             },
             onReply: (peerId, message) => this.handleReply(peerId, message),
             getWorkers: () => this.workers.getAll(),
             onWorkers: announcements => this.handleWorkers(announcements),
             onPeerDisconnected: peerId => {
-                this.relayedWorkers.handleDisconnected(peerId);
+                this.ownership.relayedWorkers.handleDisconnected(peerId);
                 this.pendingJobs.handleOwnerDisconnected(peerId);
             },
             onSubmit: (submitter, message, reply) => {
@@ -301,44 +299,17 @@
     }
 
     private handleClaimChange(claim: number): void {
-        const isOwner = claim > 0;
-        if (isOwner && this.scheduler) {
-            this.scheduler.handleTokenRaised();
-        }
-        else if (isOwner) {
-            this.scheduler = this.newScheduler();
-            this.ownerLinks = this.newOwnerLinks();
-            this.ownerLinks.handleOwners(this.owners);
-            this.workers.getAll().forEach(worker => this.scheduler?.setWorker(worker));
+        if (claim > 0) {
+            this.ownership.assume(this.workers.getAll());
         }
         else {
-            this.scheduler?.stop();
-            this.scheduler = undefined;
-            this.ownerLinks?.stop();
-            this.ownerLinks = undefined;
+            this.ownership.release();
             this.pendingJobs.handleOwnerDisconnected(this.self.id);
         }
         this.mesh.announceState();
         this.control?.announceClaim();
     }
 
-    private newOwnerLinks(): OwnerLinks {
-        const { environment, logger } = this.options;
-        return new OwnerLinks({
-            self: this.self,
-            checker: this.checker,
-            environment: { ...environment, logger },
-            onAnswer: (zone, id, answer, submission) =>
-                this.scheduler?.handleRemoteAnswer(zone, id, answer, submission),
-            onOwnerDisconnected: zone => this.scheduler?.handleRemoteDisconnected(zone),
-        });
-    }
-
-    private handleOwners(owners: readonly ZoneOwner[]): void {
-        this.owners = owners;
-        this.ownerLinks?.handleOwners(owners);
-    }
-
     private handleReply(peerId: string, message: FromPeer): void {
         switch (message.type) {
             case "answer":
@@ -353,35 +324,10 @@
                 this.pendingJobs.markRemoteTasks(peerId, message.id, false, message.submission);
                 return;
             case "worker-answer":
-                this.relayedWorkers.handleAnswer(message.number, message.answer);
-        }
-    }
-
-    /** Reports the zone's free capacity to the owners of other zones when it has changed. */
-    private reportFreeCapacity(): void {
-        const free = this.scheduler?.getFreeCapacity() ?? {};
-        const text = JSON.stringify(free);
-        if (text !== this.lastCapacityReport) {
-            this.lastCapacityReport = text;
-            this.mesh.announceFreeCapacity(free);
+                this.ownership.relayedWorkers.handleAnswer(message.number, message.answer);
         }
     }
 
-    private newScheduler(): TaskScheduler {
-        const { environment, logger, metrics } = this.options;
-        return new TaskScheduler({
-            connect: this.relayedWorkers.connect,
-            choose: chooseBestFit,
-            getRemoteSchedulers: () => this.ownerLinks?.getRemoteSchedulers() ?? [],
-            getFencingToken: () => this.election.claim,
-            onFenced: fencingToken => this.election.handleFenced(fencingToken),
-            clock: environment.clock,
-            timers: environment.timers,
-            logger,
-            metrics,
-        });
-    }
-
     private handleWorkers(announcements: readonly WorkerAnnouncement[]): void {
         for (const announcement of announcements) {
             if (this.workers.record(announcement)) {
--- /dev/null
+++ b/packages/anvilmux/src/roles/WorkerOwnership.ts
@@ -0,0 +1,112 @@
+/**
+ * What an entry has while it owns the workers of its zone: the scheduler, connections to the owners of other zones, and
+ * calls to the workers, which other entries make for it.
+ */
+
+import { chooseBestFit, RelayedWorkers, TaskScheduler } from "@anvilmux/dispatch";
+import type { ConnectWorker, FreeCapacity, WorkerAnnouncement } from "@anvilmux/dispatch";
+import { OwnerLinks } from "@anvilmux/fleet";
+import type { EntryMember, ZoneMesh, ZoneOwner } from "@anvilmux/fleet";
+import type { ChannelChecker } from "@anvilmux/links";
+import type { Logger, Metrics } from "@anvilmux/telemetry";
+import type { Environment } from "../environment";
+
+export interface WorkerOwnershipOptions {
+    readonly self: EntryMember;
+    readonly checker: ChannelChecker;
+    readonly mesh: ZoneMesh;
+    readonly connectWorker: ConnectWorker;
+    readonly getFencingToken: () => number;
+    /** Called when a worker refused `fencingToken` because it had accepted a higher one. */
+    readonly onFenced: (fencingToken: number) => void;
+    readonly environment: Environment;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+export class WorkerOwnership {
+    readonly relayedWorkers: RelayedWorkers;
+    private currentScheduler: TaskScheduler | undefined;
+    private ownerLinks: OwnerLinks | undefined;
+    private owners: readonly ZoneOwner[] = [];
+    private lastCapacityReport = "";
+
+    constructor(private readonly options: WorkerOwnershipOptions) {
+        const { connectWorker, environment, logger, metrics, mesh } = options;
+        this.relayedWorkers = new RelayedWorkers({
+            connect: connectWorker,
+            getRelays: () => mesh.getCandidates().filter(({ fitness }) => fitness === "ready").map(({ id }) => id),
+            send: (peerId, call) => mesh.send(peerId, { type: "worker-call", ...call }),
+            clock: environment.clock,
+            timers: environment.timers,
+            logger,
+            metrics,
+        });
+    }
+
+    /** Undefined while another entry owns the workers. */
+    get scheduler(): TaskScheduler | undefined {
+        return this.currentScheduler;
+    }
+
+    /** Begins to own the workers, or continues with a higher fencing token. */
+    assume(workers: readonly WorkerAnnouncement[]): void {
+        if (this.currentScheduler) {
+            this.currentScheduler.handleTokenRaised();
+            return;
+        }
+        this.currentScheduler = this.newScheduler();
+        this.ownerLinks = this.newOwnerLinks();
+        this.ownerLinks.handleOwners(this.owners);
+        workers.forEach(worker => this.currentScheduler?.setWorker(worker));
+    }
+
+    release(): void {
+        this.currentScheduler?.stop();
+        this.currentScheduler = undefined;
+        this.ownerLinks?.stop();
+        this.ownerLinks = undefined;
+    }
+
+    handleOwners(owners: readonly ZoneOwner[]): void {
+        this.owners = owners;
+        this.ownerLinks?.handleOwners(owners);
+    }
+
+    /** Reports the zone's free capacity to the owners of other zones when it has changed. */
+    reportFreeCapacity(): void {
+        const free: FreeCapacity = this.currentScheduler?.getFreeCapacity() ?? {};
+        const text = JSON.stringify(free);
+        if (text !== this.lastCapacityReport) {
+            this.lastCapacityReport = text;
+            this.options.mesh.announceFreeCapacity(free);
+        }
+    }
+
+    private newScheduler(): TaskScheduler {
+        const { environment, logger, metrics, getFencingToken, onFenced } = this.options;
+        return new TaskScheduler({
+            connect: this.relayedWorkers.connect,
+            choose: chooseBestFit,
+            getRemoteSchedulers: () => this.ownerLinks?.getRemoteSchedulers() ?? [],
+            getFencingToken,
+            onFenced,
+            clock: environment.clock,
+            timers: environment.timers,
+            logger,
+            metrics,
+        });
+    }
+
+    private newOwnerLinks(): OwnerLinks {
+        const { self, checker, environment, logger } = this.options;
+        return new OwnerLinks({
+            self,
+            checker,
+            environment: { ...environment, logger },
+            onAnswer: (zone, id, answer, submission) =>
+                this.currentScheduler?.handleRemoteAnswer(zone, id, answer, submission),
+            onOwnerDisconnected: zone => this.currentScheduler?.handleRemoteDisconnected(zone),
+        });
+    }
+}
