A job that ends is cancelled at every owner that had it

Seen: an owner that had a job before ownership moved went on with it after its caller had the answer or was gone, up to the job's deadline.

Cause: PendingJobs cancelled at the present owner only, and not even there while no owner was in sight.

Change: it keeps the link to each owner that had the job and cancels at all of them but the one that answered. An owner with whom the connection was lost ends the job by itself, as before.

Failing before: two tests in PendingJobs.test.ts.

--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -9,7 +9,7 @@
 import { ownerlessTimeoutMs, refusalRetryMs, schedulerTickMs } from "./constants";
 import type { JobAnswer, JobRequest } from "./types";
 
-/** Calls from this entry to the owner of the zone's workers. */
+/** Calls from this entry to an owner of the zone's workers; they remain valid when it is the owner no longer. */
 export interface OwnerLink {
     readonly id: string;
     /** False while the owner is unreachable. What the owner reports on the job names the number `submission`. */
@@ -33,8 +33,8 @@
     ownerId: string | undefined;
     /** Number of the latest submission to an owner, which differs from those of all other submissions of this entry. */
     submission: number;
-    /** All owners to which it was submitted. */
-    readonly ownerIds: Set<string>;
+    /** All owners to which it was submitted, by id. */
+    readonly owners: Map<string, OwnerLink>;
     mayRunElsewhere: boolean;
 }
 
@@ -55,7 +55,7 @@
     stop(): void {
         this.unsubscribe();
         for (const job of [...this.jobs.values()]) {
-            this.cancelAtOwner(job);
+            this.cancelAtOwners(job);
             this.answer(job, this.getUnfinishedAnswer(job, "the entry ends"));
         }
     }
@@ -70,7 +70,7 @@
                 waiters: new Set(),
                 ownerId: undefined,
                 submission: 0,
-                ownerIds: new Set(),
+                owners: new Map(),
                 mayRunElsewhere: false,
             };
             this.jobs.set(request.id, job);
@@ -88,6 +88,7 @@
     handleAnswer(ownerId: string, id: JobId, answer: JobAnswer, submission: number | undefined): void {
         const job = this.findSubmitted(ownerId, id, submission);
         if (job) {
+            this.cancelAtOwners(job, ownerId);
             this.answer(job, answer);
         }
     }
@@ -141,15 +142,15 @@
         const elapsed = this.options.clock.now() - job.arrivedAt;
         const request: JobRequest = {
             ...job.request,
-            resubmitted: job.ownerIds.size > 0,
-            hadOtherOwner: [...job.ownerIds].some(id => id !== owner.id),
+            resubmitted: job.owners.size > 0,
+            hadOtherOwner: [...job.owners.keys()].some(id => id !== owner.id),
             mayRunElsewhere: job.mayRunElsewhere,
             objectiveMs: job.request.objectiveMs - elapsed,
             remainingMs: job.request.remainingMs - elapsed,
         };
         // Set before submitting: an owner in this process may answer at once.
         job.ownerId = owner.id;
-        job.ownerIds.add(owner.id);
+        job.owners.set(owner.id, owner);
         this.submissionCount += 1;
         job.submission = this.submissionCount;
         if (!owner.submit(request, job.submission)) {
@@ -164,13 +165,15 @@
         }
         this.jobs.delete(id);
         this.options.logger.info("caller disconnected", { job: id });
-        this.cancelAtOwner(job);
+        this.cancelAtOwners(job);
     }
 
-    private cancelAtOwner(job: PendingJob): void {
-        const owner = this.options.getOwner();
-        if (owner && job.ownerId === owner.id) {
-            owner.cancel(job.request.id);
+    /** Cancels a job that has ended here at the owners to which it was submitted, except the one that answered it. */
+    private cancelAtOwners(job: PendingJob, answeringOwnerId?: string): void {
+        for (const owner of job.owners.values()) {
+            if (owner.id !== answeringOwnerId) {
+                owner.cancel(job.request.id);
+            }
         }
     }
 
@@ -197,10 +200,10 @@
         for (const job of [...this.jobs.values()]) {
             const age = now - job.arrivedAt;
             if (age > job.request.remainingMs) {
-                this.cancelAtOwner(job);
+                this.cancelAtOwners(job);
                 this.answer(job, this.getUnfinishedAnswer(job, "the caller's deadline has passed"));
             }
-            else if (job.ownerId === undefined && age > ownerlessTimeoutMs && job.ownerIds.size === 0) {
+            else if (job.ownerId === undefined && age > ownerlessTimeoutMs && job.owners.size === 0) {
                 this.answer(job, this.getUnfinishedAnswer(job, "the zone's workers have no owner now"));
             }
             else if (job.ownerId === undefined) {
@@ -210,7 +213,7 @@
     }
 
     private getUnfinishedAnswer(job: PendingJob, reason: string): JobAnswer {
-        return job.ownerIds.size > 0
+        return job.owners.size > 0
             ? { kind: "unknown", reason }
             : { kind: "refused", reason, retryAfterMs: refusalRetryMs };
     }
--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -11,6 +11,7 @@
     readonly submitted: JobRequest[] = [];
     readonly submissions: number[] = [];
     readonly cancelled: JobId[] = [];
+    readonly cancelledAt: string[] = [];
     readonly answers = new Map<string, JobAnswer>();
     ownerId: string | undefined = "owner-1";
     readonly pendingJobs = new PendingJobs({
@@ -32,10 +33,11 @@
     }
 
     private getOwner(): OwnerLink | undefined {
-        return this.ownerId === undefined ? undefined : {
-            id: this.ownerId,
+        const id = this.ownerId;
+        return id === undefined ? undefined : {
+            id,
             submit: (request, submission) => this.submitted.push(request) === this.submissions.push(submission),
-            cancel: id => this.cancelled.push(id),
+            cancel: job => this.cancelled.push(job) === this.cancelledAt.push(id),
         };
     }
 }
@@ -158,6 +160,25 @@
         expect(fixture.cancelled).toEqual(["a"]);
     });
 
+    test("a job that ends is cancelled at the owners that had it before", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        const abandon = fixture.accept("b");
+        fixture.changeOwner("owner-2");
+        fixture.pendingJobs.handleAnswer("owner-2", toJobId("a"), { kind: "completed" }, fixture.submissions[2]);
+        expect([fixture.cancelled, fixture.cancelledAt]).toEqual([["a"], ["owner-1"]]);
+        abandon();
+        expect([fixture.cancelled, fixture.cancelledAt]).toEqual([["a", "b", "b"], ["owner-1", "owner-1", "owner-2"]]);
+    });
+
+    test("a job is cancelled at its owner also while that owner is not seen as one", () => {
+        const fixture = new PendingJobsFixture();
+        const abandon = fixture.accept("a");
+        fixture.changeOwner(undefined);
+        abandon();
+        expect(fixture.cancelledAt).toEqual(["owner-1"]);
+    });
+
     test("an entry that shuts down answers unknown where tasks may have run and refused otherwise", () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("handed-over");
--- a/packages/dispatch/tests/simulation/CallRecords.ts
+++ b/packages/dispatch/tests/simulation/CallRecords.ts
@@ -44,6 +44,11 @@
             .map(([id]) => id);
     }
 
+    /** Number of runs that were started. */
+    countRuns(): number {
+        return [...this.jobs.values()].reduce((sum, job) => sum + job.startedRuns, 0);
+    }
+
     /** Number of attempts by their answers. */
     countAnswers(): Readonly<Record<string, number>> {
         const counts: Record<string, number> = {};
