Take what a submission, an abort and a capacity report need from the index

Cause: each submitted job built a list of all workers' rooms to find out whether its tasks can ever run, each aborted job one of all free capacities for its log line, and each report to other zones, ten a second, copied a list once for each usable worker, so that its time grew with the square of the zone's size.

Reported services no longer change their order.

Evidence: a property test compares all three with a look at each worker (100 sequences of events, fixed seed). The log line's figures still grow with the zone; they are written for aborted jobs only.

--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -53,45 +53,38 @@
 
     /** Why a job can never run here; undefined when it can, or when no worker of its service is known. */
     findPermanentObstacle(request: JobRequest): string | undefined {
-        const capacities = [...this.workers.values()]
-            .filter(worker => worker.session.announcement.service === request.service)
-            .map(worker => worker.session.announcement.room);
-        const oversized = request.tasks.find(task => !capacities.some(capacity => fits(capacity, task)));
-        return capacities.length > 0 && oversized ? `no worker is large enough for task ${oversized.name}` : undefined;
+        const oversized = request.tasks.find(task => this.isTooLarge(request.service, task));
+        return oversized && `no worker is large enough for task ${oversized.name}`;
     }
 
     /** True once every worker has listed its runs. */
     areAllListed(): boolean {
-        return [...this.workers.values()].every(worker => worker.session.isListed);
+        for (const { session } of this.workers.values()) {
+            if (!session.isListed) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Free processors of the usable workers by service, the largest first. */
     getFreeCapacity(): FreeCapacity {
-        const byService = new Map<string, number[]>();
-        for (const { session } of this.workers.values()) {
-            const { service } = session.announcement;
-            if (session.isUsable && session.free.millicores > 0) {
-                byService.set(service, [...byService.get(service) ?? [], session.free.millicores]);
-            }
-        }
-        return Object.fromEntries([...byService].map(([service, free]) => [
-            service,
-            free.sort((left, right) => right - left).slice(0, maximumReportedWorkers),
-        ]));
+        const byService = [...this.index.services].map(service => [service, this.getLargestFree(service)] as const);
+        return Object.fromEntries(byService.filter(([, free]) => free.length > 0));
     }
 
     /** Capacity of a service, for the log. */
     describeCapacity(service: string): Omit<ObservedCapacity, "waitingJobs" | "otherZones"> {
-        const sessions = [...this.workers.values()]
-            .map(worker => worker.session)
-            .filter(session => session.announcement.service === service);
-        const free = sessions.filter(session => session.isUsable).map(session => session.free.millicores);
-        return {
-            workers: sessions.length,
-            usableWorkers: free.length,
-            freeMillicores: free.reduce((sum, millicores) => sum + millicores, 0),
-            largestGapMillicores: Math.max(0, ...free),
-        };
+        const capacity = { workers: 0, usableWorkers: 0, freeMillicores: 0, largestGapMillicores: 0 };
+        for (const session of this.index.getAll(service)) {
+            capacity.workers += 1;
+            if (session.isUsable) {
+                capacity.usableWorkers += 1;
+                capacity.freeMillicores += session.free.millicores;
+                capacity.largestGapMillicores = Math.max(capacity.largestGapMillicores, session.free.millicores);
+            }
+        }
+        return capacity;
     }
 
     choose(service: string, needed: Resources, avoided: readonly WorkerSession[]): WorkerSession | undefined {
@@ -129,6 +122,31 @@
         this.index.clear();
     }
 
+    /** True when the service has workers and none of them, were it idle, had room for the task. */
+    private isTooLarge(service: string, task: Resources): boolean {
+        let isServed = false;
+        for (const session of this.index.getAll(service)) {
+            if (fits(session.announcement.room, task)) {
+                return false;
+            }
+            isServed = true;
+        }
+        return isServed;
+    }
+
+    private getLargestFree(service: string): readonly number[] {
+        const free: number[] = [];
+        for (const session of this.index.getAll(service)) {
+            if (session.free.millicores <= 0 || free.length === maximumReportedWorkers) {
+                break;
+            }
+            if (session.isUsable) {
+                free.push(session.free.millicores);
+            }
+        }
+        return free;
+    }
+
     private pause(session: WorkerSession, pauseMs: Milliseconds): void {
         if (pauseMs > 0) {
             this.options.logger.warn("worker paused after failures", { worker: session.id, pauseMs });
--- a/packages/dispatch/src/WorkerIndex.ts
+++ b/packages/dispatch/src/WorkerIndex.ts
@@ -56,6 +56,19 @@
         }
     }
 
+    /** The services with workers now or earlier. */
+    get services(): Iterable<string> {
+        return this.byService.keys();
+    }
+
+    /** The workers of a service, those with the most free processors first. */
+    *getAll(service: string): Iterable<WorkerSession> {
+        const workers = this.byService.get(service) ?? [];
+        for (let index = workers.length - 1; index >= 0; index--) {
+            yield workers[index]!.session;
+        }
+    }
+
     private insert(session: WorkerSession, sequence: number): void {
         const { service } = session.announcement;
         const entry = { session, sequence, service, freeMillicores: session.free.millicores };
@@ -72,9 +85,6 @@
     private extract(entry: IndexedWorker): void {
         const workers = this.byService.get(entry.service) ?? [];
         workers.splice(findIndex(workers, entry), 1);
-        if (workers.length === 0) {
-            this.byService.delete(entry.service);
-        }
     }
 }
 
--- a/packages/dispatch/tests/workerChoice.test.ts
+++ b/packages/dispatch/tests/workerChoice.test.ts
@@ -1,9 +1,11 @@
-/** The choice of a worker from the index equals best fit over all workers, whatever happened to them before. */
+/** What an owner finds in its index of workers equals a scan of all of them, whatever happened to them before. */
 
-import { toAddress, toZoneId, VirtualTime } from "@anvilmux/common";
+import { toAddress, toJobId, toZoneId, VirtualTime } from "@anvilmux/common";
 import type { Milliseconds } from "@anvilmux/common";
-import { chooseBestFit, toTaskName, toWorkerId } from "@anvilmux/dispatch";
+import { chooseBestFit, fits, toTaskName, toWorkerId } from "@anvilmux/dispatch";
 import type {
+    FreeCapacity,
+    JobRequest,
     Resources,
     TaskName,
     TaskRequest,
@@ -57,6 +59,27 @@
 
 type Choice = readonly [chosen: WorkerSession | undefined, expected: WorkerSession | undefined];
 
+interface Description {
+    readonly free: FreeCapacity;
+    readonly capacity: ReturnType<OwnedWorkers["describeCapacity"]>;
+    readonly isTooLarge: boolean;
+}
+
+const newRequest = (service: string, demand: Resources): JobRequest => ({
+    id: toJobId("job-1"),
+    queue: "checks",
+    service,
+    payload: "",
+    tasks: [{ name: toTaskName("job-1.0"), estimateMs: 10, ...demand }],
+    priority: 0,
+    attempts: 2,
+    objectiveMs: 1_000,
+    remainingMs: 5_000,
+    resubmitted: false,
+    mayRunElsewhere: false,
+    spilled: false,
+});
+
 class ChoiceHarness {
     private readonly time = new VirtualTime();
     /** The sessions in the order in which they were added. */
@@ -115,6 +138,43 @@
         return [chosen, expected];
     }
 
+    /** What the owner says of its workers. */
+    describe({ service, ...demand }: Step): Description {
+        return {
+            free: this.owned.getFreeCapacity(),
+            capacity: this.owned.describeCapacity(service),
+            isTooLarge: this.owned.findPermanentObstacle(newRequest(service, demand)) !== undefined,
+        };
+    }
+
+    /** The same from a look at each worker. */
+    describeByFullScan(demand: Step): Description {
+        const present = this.getPresent();
+        const usable = present.filter(session => session.isUsable);
+        const getFree = (service: string) =>
+            usable.filter(session => session.announcement.service === service)
+                .map(session => session.free.millicores);
+        const ofService = present.filter(session => session.announcement.service === demand.service);
+        const free = getFree(demand.service);
+        return {
+            free: Object.fromEntries(
+                services.map(service =>
+                    [
+                        service,
+                        getFree(service).filter(millicores => millicores > 0).sort((one, other) => other - one),
+                    ] as const
+                ).filter(([, gaps]) => gaps.length > 0),
+            ),
+            capacity: {
+                workers: ofService.length,
+                usableWorkers: free.length,
+                freeMillicores: free.reduce((sum, millicores) => sum + millicores, 0),
+                largestGapMillicores: Math.max(0, ...free),
+            },
+            isTooLarge: ofService.length > 0 && !ofService.some(session => fits(session.announcement.room, demand)),
+        };
+    }
+
     private async announce(step: Step): Promise<void> {
         const announcement: WorkerAnnouncement = {
             id: toWorkerId(`worker-${step.worker}`),
@@ -134,15 +194,21 @@
         await this.time.advance(settlingMs);
     }
 
-    /** Every worker has at least this amount of free processors, so the strategy gets all sessions of the service. */
     private collectSessions(): void {
+        this.sessions.push(...this.getPresent().filter(session => !this.sessions.includes(session)));
+    }
+
+    /** The sessions now: as every worker has at least this amount free, the strategy gets all those of a service. */
+    private getPresent(): readonly WorkerSession[] {
+        const present: WorkerSession[] = [];
         this.strategy = input => {
-            this.sessions.push(...[...input.sessions].filter(session => !this.sessions.includes(session)));
+            present.push(...input.sessions);
             return undefined;
         };
         for (const service of services) {
             this.owned.choose(service, { millicores: -Infinity, memoryMebibytes: 0, accelerators: 0 }, []);
         }
+        return present;
     }
 
     private start(step: Step): void {
@@ -198,6 +264,23 @@
         expect(chosenCount).toBeGreaterThan(1_000);
     });
 
+    test("free capacity, the log's figures and tasks too large for any worker are those of a full scan", async () => {
+        let tooLargeCount = 0;
+        await fc.assert(
+            fc.asyncProperty(fc.array(step, { minLength: 20, maxLength: 60 }), async steps => {
+                const harness = new ChoiceHarness();
+                for (const current of steps) {
+                    await harness.run(current);
+                    const expected = harness.describeByFullScan(current);
+                    expect(harness.describe(current)).toEqual(expected);
+                    tooLargeCount += expected.isTooLarge ? 1 : 0;
+                }
+            }),
+            { seed, numRuns: 100 },
+        );
+        expect(tooLargeCount).toBeGreaterThan(100);
+    });
+
     test("a worker whose announced room grows or shrinks is chosen by its new room", async () => {
         const harness = new ChoiceHarness();
         const base: Step = {
