An entry withdraws a job from its owner before it submits it to the next

Seen: a task ran twice at once, in its own zone and in the other one. A raised token alone has the same effect within the zone: the owner's waiting jobs count as never started elsewhere.

Cause: nobody told the former owner, although the connection to it was open.

Change: the entry sends it `withdraw` on that connection. It starts no more of the job's tasks until the job is submitted to it again; without runs it drops the job, and runs in progress go on, to be adopted by the next owner.

Whether this costs work served where entries follow the highest token was not measured. Failing before: one test in PendingJobs.test.ts, two in returningOwner.test.ts, one in ZoneMesh.test.ts.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -214,6 +214,7 @@
             onRemoteAcknowledged: (submitter, message) =>
                 this.scheduler?.handleRemoteAcknowledgement(message.id, submitter),
             onCancel: (submitter, message) => this.scheduler?.cancel(message.id, submitter, "cancelled by its entry"),
+            onWithdraw: (submitter, message) => this.scheduler?.withdraw(message.id, submitter),
             onSubmitterDisconnected: submitter => this.scheduler?.handleSubmitterDisconnected(submitter),
         });
     }
@@ -251,6 +252,7 @@
             id: ownerId,
             submit: (request, submission) => this.mesh.send(ownerId, { type: "submit", request, submission }),
             cancel: id => this.mesh.send(ownerId, { type: "cancel", id }),
+            withdraw: id => this.mesh.send(ownerId, { type: "withdraw", id }),
         };
     }
 
@@ -271,6 +273,7 @@
                 return this.scheduler !== undefined;
             },
             cancel: jobId => this.scheduler?.cancel(jobId, id, "cancelled here"),
+            withdraw: jobId => this.scheduler?.withdraw(jobId, id),
         };
     }
 
--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -15,6 +15,8 @@
     /** False while the owner is unreachable. What the owner reports on the job names the number `submission`. */
     readonly submit: (request: JobRequest, submission: number) => boolean;
     readonly cancel: (id: JobId) => void;
+    /** The job goes to another owner: it starts no more tasks of it until the job is submitted to it again. */
+    readonly withdraw: (id: JobId) => void;
 }
 
 export interface PendingJobsOptions {
@@ -148,6 +150,9 @@
             objectiveMs: job.request.objectiveMs - elapsed,
             remainingMs: job.request.remainingMs - elapsed,
         };
+        if (job.ownerId !== undefined) {
+            job.owners.get(job.ownerId)?.withdraw(job.request.id);
+        }
         // Set before submitting: an owner in this process may answer at once.
         job.ownerId = owner.id;
         job.owners.set(owner.id, owner);
--- a/packages/dispatch/src/ScheduledJob.ts
+++ b/packages/dispatch/src/ScheduledJob.ts
@@ -42,6 +42,8 @@
     remoteAcknowledgement: "no" | "asked" | "yes";
     /** Tasks forwarded to other zones, by zone. */
     readonly remoteTasks: Map<string, RemoteTasks>;
+    /** True while it is with another owner; none of its tasks is started. */
+    withdrawn: boolean;
     /** True once it was answered or cancelled. */
     closed: boolean;
     /** Until then, runs started by a former owner may continue without being listed here. */
@@ -84,6 +86,7 @@
     submitter,
     remoteAcknowledgement: "no",
     remoteTasks: new Map(),
+    withdrawn: false,
     closed: false,
     uncertainUntil,
 });
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -108,6 +108,7 @@
 
     private replaceSubmitter(job: ScheduledJob, submitter: JobSubmitter): void {
         job.submitter = submitter;
+        job.withdrawn = false;
         job.remoteAcknowledgement = "no";
         if (job.remoteTasks.size > 0) {
             job.remoteAcknowledgement = submitter.announceRemoteTasks() ? "yes" : "asked";
@@ -122,6 +123,21 @@
         }
     }
 
+    /**
+     * Starts no more tasks of a job that its submitter submits to another owner. Runs go on, so that the other owner
+     * finds them; without any, the job is closed.
+     */
+    withdraw(id: JobId, submitterKey: string): void {
+        const job = this.jobs.get(id);
+        if (job?.submitter.key !== submitterKey) {
+            return;
+        }
+        job.withdrawn = true;
+        if (job.tasks.every(task => task.state === "waiting" || task.state === "done")) {
+            this.close(job, "withdrawn by its entry");
+        }
+    }
+
     /** Closes the jobs of a disconnected submitter after a delay, unless another submitter resubmitted them by then. */
     handleSubmitterDisconnected(submitterKey: string): void {
         const closeJobs = (spilled: boolean) => {
@@ -217,6 +233,9 @@
             if (passedOver >= maximumPassedOver) {
                 break;
             }
+            if (job.withdrawn) {
+                continue;
+            }
             if (!this.placeTasks(job)) {
                 this.spill(job);
                 passedOver += job.waiting > 0 ? 1 : 0;
--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -12,6 +12,7 @@
     readonly submissions: number[] = [];
     readonly cancelled: JobId[] = [];
     readonly cancelledAt: string[] = [];
+    readonly withdrawnAt: string[] = [];
     readonly answers = new Map<string, JobAnswer>();
     ownerId: string | undefined = "owner-1";
     readonly pendingJobs = new PendingJobs({
@@ -38,6 +39,7 @@
             id,
             submit: (request, submission) => this.submitted.push(request) === this.submissions.push(submission),
             cancel: job => this.cancelled.push(job) === this.cancelledAt.push(id),
+            withdraw: () => this.withdrawnAt.push(id),
         };
     }
 }
@@ -160,6 +162,16 @@
         expect(fixture.cancelled).toEqual(["a"]);
     });
 
+    test("a job is withdrawn from its owner when it is submitted to the next", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.changeOwner(undefined);
+        expect(fixture.withdrawnAt).toEqual([]);
+        fixture.changeOwner("owner-2");
+        fixture.changeOwner("owner-1");
+        expect(fixture.withdrawnAt).toEqual(["owner-1", "owner-2"]);
+    });
+
     test("a job that ends is cancelled at the owners that had it before", () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
--- a/packages/dispatch/tests/returningOwner.test.ts
+++ b/packages/dispatch/tests/returningOwner.test.ts
@@ -43,4 +43,34 @@
         expect(fixture.answers.get("a")?.kind).toBe("refused");
         expect(fixture.startedTasks).not.toContain("a.0");
     });
+
+    test("a job that was withdrawn is not started, and is started when it returns", async () => {
+        const { fixture, scheduler } = await newBusyFixture(9_000);
+        const request = fixture.newJob("a", { objectiveMs: 9_000 });
+        scheduler.withdraw(request.id, "another submitter");
+        expect(scheduler.waitingJobs).toBe(1);
+        scheduler.withdraw(request.id, "home");
+        expect(scheduler.waitingJobs).toBe(0);
+        await fixture.time.advance(800);
+        expect(fixture.startedTasks).not.toContain("a.0");
+        fixture.submit(scheduler, { ...request, resubmitted: true, hadOtherOwner: true });
+        await fixture.time.advance(200);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
+    test("runs of a job that was withdrawn go on, but none of its tasks is started or forwarded", async () => {
+        const fixture = new SchedulerFixture(1);
+        const scheduler = fixture.newScheduler(1);
+        await fixture.time.advance(20);
+        const request = fixture.newJob("a", { tasks: 3, runMs: 300, objectiveMs: 9_000 });
+        fixture.submit(scheduler, request);
+        await fixture.time.advance(50);
+        scheduler.withdraw(request.id, "home");
+        await fixture.time.advance(500);
+        expect(fixture.startedTasks).toEqual(["a.0", "a.1"]);
+        fixture.submit(scheduler, { ...request, resubmitted: true, hadOtherOwner: true });
+        await fixture.time.advance(500);
+        expect(fixture.startedTasks).toEqual(["a.0", "a.1", "a.2"]);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
 });
--- a/packages/dispatch/tests/simulation/SimulatedEntry.ts
+++ b/packages/dispatch/tests/simulation/SimulatedEntry.ts
@@ -128,6 +128,7 @@
             id: owner.id,
             submit: (request, submission) => this.submitTo(owner, request, submission),
             cancel: id => this.cancelAt(owner, id),
+            withdraw: id => this.withdrawFrom(owner, id),
         };
     }
 
@@ -150,6 +151,7 @@
                 return this.scheduler !== undefined;
             },
             cancel: job => this.scheduler?.cancel(job, id, "cancelled"),
+            withdraw: job => this.scheduler?.withdraw(job, id),
         };
     }
 
@@ -164,6 +166,11 @@
         connection.there.send(() => server.scheduler?.cancel(id, connection.key, "cancelled"));
     }
 
+    private withdrawFrom(server: SimulatedEntry, id: JobId): void {
+        const connection = this.connect(server);
+        connection.there.send(() => server.scheduler?.withdraw(id, connection.key));
+    }
+
     /** A job that `client` submits, for its own callers or for the tasks that it forwards. */
     private receiveJob(
         client: SimulatedEntry,
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -31,6 +31,7 @@
     ) => void;
     readonly onRemoteAcknowledged: (submitterKey: string, message: Extract<ToPeer, { type: "away-known"; }>) => void;
     readonly onCancel: (submitterKey: string, message: Extract<ToPeer, { type: "cancel"; }>) => void;
+    readonly onWithdraw: (submitterKey: string, message: Extract<ToPeer, { type: "withdraw"; }>) => void;
     readonly onSubmitterDisconnected: (submitterKey: string) => void;
 }
 
@@ -176,6 +177,9 @@
                         return;
                     case "cancel":
                         this.options.onCancel(submitterKey, message);
+                        return;
+                    case "withdraw":
+                        this.options.onWithdraw(submitterKey, message);
                 }
             },
             onClose: () => {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -57,7 +57,9 @@
     | { readonly type: "submit"; readonly request: JobRequest; readonly submission?: number; }
     /** The submitter acknowledges that tasks of its job may run in other zones. */
     | { readonly type: "away-known"; readonly id: JobId; }
-    | { readonly type: "cancel"; readonly id: JobId; };
+    | { readonly type: "cancel"; readonly id: JobId; }
+    /** The job goes to another owner; its runs go on, and no more of its tasks are started. */
+    | { readonly type: "withdraw"; readonly id: JobId; };
 
 /** Messages to the entry that opened the connection. */
 export type FromPeer =
--- a/packages/fleet/tests/ZoneMesh.test.ts
+++ b/packages/fleet/tests/ZoneMesh.test.ts
@@ -15,6 +15,7 @@
     readonly disconnectedSubmitters: string[] = [];
     readonly submitted: string[] = [];
     readonly cancelled: string[] = [];
+    readonly withdrawn: string[] = [];
     readonly remoteAcknowledged: string[] = [];
     readonly replies: FromPeer[] = [];
     submitterKey = "";
@@ -44,6 +45,7 @@
             },
             onRemoteAcknowledged: (_submitterKey, message) => this.remoteAcknowledged.push(message.id),
             onCancel: (_submitterKey, message) => this.cancelled.push(message.id),
+            onWithdraw: (_submitterKey, message) => this.withdrawn.push(message.id),
             onSubmitterDisconnected: submitterKey => this.disconnectedSubmitters.push(submitterKey),
         });
         cleanups.push(() => checker.stop(), () => this.mesh.stop());
@@ -105,8 +107,10 @@
         second.reply({ type: "away", id: toJobId("job1"), submission: 1 });
         await waitUntil(() => first.replies.length === 1);
         first.mesh.send("b", { type: "away-known", id: toJobId("job1") });
+        first.mesh.send("b", { type: "withdraw", id: toJobId("job1") });
         first.mesh.send("b", { type: "cancel", id: toJobId("job1") });
         await waitUntil(() => second.cancelled.length === 1);
+        expect(second.withdrawn).toEqual(["job1"]);
         expect([second.remoteAcknowledged, second.submitterKey]).toEqual([["job1"], expect.stringMatching(/^a#/)]);
     }, 30_000);
 
