An owner whose token was refused forwards no tasks to other zones

Cause: fencing tokens keep two owners apart on the workers of their zone only. An owner that a worker had told of a higher token went on to forward waiting tasks to other zones, most of all because its own workers refused them.

--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -54,6 +54,10 @@
         this.spiller = new TaskSpiller(options, events);
         this.workers = new OwnedWorkers({
             ...options,
+            onFenced: fencingToken => {
+                this.spiller.handleFenced(fencingToken);
+                options.onFenced(fencingToken);
+            },
             onEnd: (session, run, outcome) => this.handleRunCompletion(session, run, outcome),
             onFound: (session, run) => this.handleFoundRun(session, run),
             onStandstill: (session, run, percent) => this.handleStalledRun(session, run, percent),
@@ -129,12 +133,11 @@
      */
     withdraw(id: JobId, submitterKey: string): void {
         const job = this.jobs.get(id);
-        if (job?.submitter.key !== submitterKey) {
-            return;
-        }
-        job.withdrawn = true;
-        if (job.tasks.every(task => task.state === "waiting" || task.state === "done")) {
-            this.close(job, "withdrawn by its entry");
+        if (job?.submitter.key === submitterKey) {
+            job.withdrawn = true;
+            if (job.tasks.every(task => task.state === "waiting" || task.state === "done")) {
+                this.close(job, "withdrawn by its entry");
+            }
         }
     }
 
--- a/packages/dispatch/src/TaskSpiller.ts
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -10,6 +10,7 @@
 export interface TaskSpillerOptions {
     /** The reachable schedulers of other zones, the one with the most free capacity first. */
     readonly getRemoteSchedulers: () => readonly RemoteScheduler[];
+    readonly getFencingToken: () => number;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -17,11 +18,23 @@
 
 export class TaskSpiller {
     private submissionCount = 0;
+    private refusedToken: number | undefined;
 
     constructor(private readonly options: TaskSpillerOptions, private readonly events: TaskEvents) {}
 
+    /**
+     * A worker refused this owner's token for a higher one: nothing is forwarded until it raises its token. Another
+     * owner may have the same jobs, and workers of other zones do not know this zone's tokens.
+     */
+    handleFenced(fencingToken: number): void {
+        this.refusedToken = fencingToken;
+    }
+
     /** Forwards as many waiting tasks as other zones have capacity for, once the submitter acknowledged that. */
     spill(job: ScheduledJob, waiting: readonly ScheduledTask[]): void {
+        if (this.refusedToken === this.options.getFencingToken()) {
+            return;
+        }
         const remotes = this.options.getRemoteSchedulers().filter(remote => !job.remoteTasks.has(remote.zone));
         const hasCapacity = () => remotes.some(remote => chooseFor(remote, job, waiting).tasks.length > 0);
         if (job.remoteAcknowledgement === "no" && hasCapacity()) {
--- a/packages/dispatch/tests/spilling.test.ts
+++ b/packages/dispatch/tests/spilling.test.ts
@@ -113,6 +113,30 @@
         expect(fixture.answers.get("after")).toEqual({ kind: "completed" });
     });
 
+    test("an owner whose token a worker refused forwards nothing until it has raised its token", async () => {
+        const fixture = new SchedulerFixture(1);
+        let token = 1;
+        const scheduler = fixture.newScheduler(1, () => token);
+        await fixture.time.advance(20);
+        const sent: JobRequest[] = [];
+        fixture.remoteSchedulers = [{
+            zone: "eire-cork",
+            free: { desk: [16_000] },
+            submit: request => sent.push(request) > 0,
+            cancel: () => undefined,
+        }];
+        fixture.newScheduler(2);
+        await fixture.time.advance(600);
+        expect(fixture.fencedTokens).toContain(1);
+        fixture.submit(scheduler, fixture.newJob("a", { tasks: 4, runMs: 300, objectiveMs: 4_000 }));
+        await fixture.time.advance(200);
+        expect(sent).toHaveLength(0);
+        token = 3;
+        scheduler.handleTokenRaised();
+        await fixture.time.advance(200);
+        expect(sent).toHaveLength(1);
+    });
+
     test("a disconnected zone leaves the outcome unknown, and its tasks are not started again", async () => {
         const { fixture, scheduler } = await newSpillFixture();
         fixture.submit(scheduler, fixture.newJob("a", { tasks: 4 }));
--- a/packages/dispatch/tests/truthfulAnswers.test.ts
+++ b/packages/dispatch/tests/truthfulAnswers.test.ts
@@ -1,4 +1,4 @@
-/** Simulated faults of owners, connections and callers: no task of a refused job is ever started. */
+/** Simulated faults of owners, connections and callers: a refused job never runs, and no task runs twice at once. */
 
 import { DispatchSimulation } from "./simulation/DispatchSimulation";
 
@@ -15,9 +15,10 @@
         expect(simulation.records.findFalseRefusals()).toEqual([]);
     });
 
-    test.each(newSeeds(60, 20))("no task of a refused job is started, with prompt messages (seed %i)", async seed => {
+    test.each(newSeeds(20, 60))("no task runs twice at once, with prompt messages (seed %i)", async seed => {
         const simulation = new DispatchSimulation({ seed, ...promptMessages });
         await simulation.run();
         expect(simulation.records.findFalseRefusals()).toEqual([]);
+        expect(simulation.records.doubleRuns).toEqual([]);
     });
 });
