--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -236,6 +236,7 @@
             onRemoteAcknowledged: (submitter, message) =>
                 this.scheduler?.handleRemoteAcknowledgement(message.id, submitter),
             onCancel: (submitter, message) => this.scheduler?.cancel(message.id, submitter, "cancelled by its entry"),
+            onWithdraw: (submitter, message) => this.scheduler?.withdraw(message.id, submitter),
             onSubmitterDisconnected: submitter => this.scheduler?.handleSubmitterDisconnected(submitter),
             onWorkerCall: (call, reply) =>
                 void this.relay.handle(call, answer => reply({ type: "worker-answer", number: call.number, answer })),
@@ -275,6 +276,7 @@
             id: ownerId,
             submit: (request, submission) => this.mesh.send(ownerId, { type: "submit", request, submission }),
             cancel: id => this.mesh.send(ownerId, { type: "cancel", id }),
+            withdraw: id => this.mesh.send(ownerId, { type: "withdraw", id }),
         };
     }
 
@@ -295,6 +297,7 @@
                 return this.scheduler !== undefined;
             },
             cancel: jobId => this.scheduler?.cancel(jobId, id, "cancelled here"),
+            withdraw: jobId => this.scheduler?.withdraw(jobId, id),
         };
     }
 
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -54,6 +54,10 @@
         this.spiller = new TaskSpiller(options, events);
         this.workers = new OwnedWorkers({
             ...options,
+            onFenced: fencingToken => {
+                this.spiller.handleFenced(fencingToken);
+                options.onFenced(fencingToken);
+            },
             onEnd: (session, run, outcome) => this.handleRunCompletion(session, run, outcome),
             onFound: (session, run) => this.handleFoundRun(session, run),
             onStandstill: (session, run, percent) => this.handleStalledRun(session, run, percent),
@@ -108,6 +112,7 @@
 
     private replaceSubmitter(job: ScheduledJob, submitter: JobSubmitter): void {
         job.submitter = submitter;
+        job.withdrawn = false;
         job.remoteAcknowledgement = "no";
         if (job.remoteTasks.size > 0) {
             job.remoteAcknowledgement = submitter.announceRemoteTasks() ? "yes" : "asked";
@@ -122,6 +127,20 @@
         }
     }
 
+    /**
+     * Starts no more tasks of a job that its submitter submits to another owner. Runs go on, so that the other owner
+     * finds them; without any, the job is closed.
+     */
+    withdraw(id: JobId, submitterKey: string): void {
+        const job = this.jobs.get(id);
+        if (job?.submitter.key === submitterKey) {
+            job.withdrawn = true;
+            if (job.tasks.every(task => task.state === "waiting" || task.state === "done")) {
+                this.close(job, "withdrawn by its entry");
+            }
+        }
+    }
+
     /** Closes the jobs of a disconnected submitter after a delay, unless another submitter resubmitted them by then. */
     handleSubmitterDisconnected(submitterKey: string): void {
         const closeJobs = (spilled: boolean) => {
@@ -217,6 +236,9 @@
             if (passedOver >= maximumPassedOver) {
                 break;
             }
+            if (job.withdrawn) {
+                continue;
+            }
             if (!this.placeTasks(job)) {
                 this.spill(job);
                 passedOver += job.waiting > 0 ? 1 : 0;
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -31,6 +31,7 @@
     ) => void;
     readonly onRemoteAcknowledged: (submitterKey: string, message: Extract<ToPeer, { type: "away-known"; }>) => void;
     readonly onCancel: (submitterKey: string, message: Extract<ToPeer, { type: "cancel"; }>) => void;
+    readonly onWithdraw: (submitterKey: string, message: Extract<ToPeer, { type: "withdraw"; }>) => void;
     readonly onSubmitterDisconnected: (submitterKey: string) => void;
     readonly onWorkerCall: (call: NumberedWorkerCall, reply: (message: FromPeer) => void) => void;
 }
@@ -178,6 +179,9 @@
                     case "cancel":
                         this.options.onCancel(submitterKey, message);
                         return;
+                    case "withdraw":
+                        this.options.onWithdraw(submitterKey, message);
+                        return;
                     case "worker-call":
                         this.options.onWorkerCall(message, send);
                 }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -66,6 +66,8 @@
     /** The submitter acknowledges that tasks of its job may run in other zones. */
     | { readonly type: "away-known"; readonly id: JobId; }
     | { readonly type: "cancel"; readonly id: JobId; }
+    /** The job goes to another owner; its runs go on, and no more of its tasks are started. */
+    | { readonly type: "withdraw"; readonly id: JobId; }
     /** A call to a worker that the receiver makes for the sender, the owner of the zone's workers. */
     | { readonly type: "worker-call"; } & NumberedWorkerCall;
 
