Look once a pass whether all workers have listed their runs

Cause: after a change of owner, jobs that came again are held until every worker has listed its runs. Each pass over the jobs, every 20 ms and at each end of a run, looked at all workers again for each such job.

Change: a pass looks once, when the first job depends on it. Lists arrive between passes only. Decisions are unchanged; the present tests cover them.

--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -212,13 +212,14 @@
         if (this.closed) {
             return;
         }
+        const view = this.getView();
         let passedOver = 0;
         for (const job of this.jobs.getWaiting()) {
             if (passedOver >= maximumPassedOver) {
                 break;
             }
-            if (!this.placeTasks(job)) {
-                this.spill(job);
+            if (!this.placeTasks(job, view)) {
+                this.spill(job, view);
                 passedOver += job.waiting > 0 ? 1 : 0;
             }
             this.jobs.prune(job);
@@ -229,8 +230,8 @@
     }
 
     /** Places the waiting tasks of a job; true when all of them were placed. */
-    private placeTasks(job: ScheduledJob): boolean {
-        if (mayHaveUnseenRuns(job, this.getView())) {
+    private placeTasks(job: ScheduledJob, view: SchedulerView): boolean {
+        if (mayHaveUnseenRuns(job, view)) {
             return false;
         }
         for (const task of job.tasks) {
@@ -241,8 +242,8 @@
         return true;
     }
 
-    private spill(job: ScheduledJob): void {
-        if (!job.request.spilled && !this.transferring && !mayHaveUnseenRuns(job, this.getView())) {
+    private spill(job: ScheduledJob, view: SchedulerView): void {
+        if (!job.request.spilled && !this.transferring && !mayHaveUnseenRuns(job, view)) {
             this.spiller.spill(
                 job,
                 job.tasks.filter(task => task.state === "waiting" && !this.liveRuns.has(task.request.name)),
@@ -368,10 +369,12 @@
         this.finish(job, newAbortAnswer(job));
     }
 
+    /** The state at the start of a pass over the jobs; the workers are looked at once, when a job depends on them. */
     private getView(): SchedulerView {
+        let areAllListed: boolean | undefined;
         return {
             now: this.options.clock.now(),
-            areAllListed: () => this.workers.areAllListed(),
+            areAllListed: () => areAllListed ??= this.workers.areAllListed(),
         };
     }
 }
