Build a metric's label text without lists

Cause: each counted event built lists of its labels and searched each value three times for characters to escape, at five to six events with labels for each job. Change: one text, and the replacements only for values that have such a character. Tests of counting and escaping pass on both builds.

--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -30,12 +30,21 @@
     histogram.getValueAtPercentile(percentile) / microsecondsPerMillisecond;
 
 const toLabelText = (labels: Labels): string => {
-    const parts = Object.entries(labels).map(([key, value]) =>
-        `${key}="${value.replaceAll("\\", "\\\\").replaceAll("\"", "\\\"").replaceAll("\n", "\\n")}"`
-    );
-    return parts.length === 0 ? "" : `{${parts.join(",")}}`;
+    let text = "";
+    for (const key in labels) {
+        text += `${text === "" ? "{" : ","}${key}="${escapeLabelValue(labels[key]!)}"`;
+    }
+    return text === "" ? "" : text + "}";
 };
 
+/** Most values have nothing to escape, and each counted event passes here. */
+const escapeLabelValue = (value: string): string =>
+    charactersToEscape.test(value)
+        ? value.replaceAll("\\", "\\\\").replaceAll("\"", "\\\"").replaceAll("\n", "\\n")
+        : value;
+
+const charactersToEscape = /["\\\n]/;
+
 interface HistogramSeries {
     readonly histogram: Histogram;
     sum: number;
