Bench of a zone's owner: processor time of a start, service within an entry's budget

'dispatch' runs the scheduler, the worker driver and the entries' connections in one measured process against stand-in workers in another. It reports processor time for each start with 30, 100 and 300 workers, event loop delay, and the shares of jobs served, late, refused and unknown, also with 0.324 of a core at half the mean, the mean and the crest of a large zone. The scheduler is also measured alone on virtual time: the cost of a whole owner falls with the rate, as one wake-up serves several calls, and so hides what grows with the workers.

--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -3,6 +3,7 @@
 import { capacity } from "./benches/capacity";
 import { controlCost } from "./benches/controlCost";
 import { crest } from "./benches/crest";
+import { dispatch } from "./benches/dispatch";
 import { drain } from "./benches/drain";
 import { durability } from "./benches/durability";
 import { failover } from "./benches/failover";
@@ -31,4 +32,5 @@
     jobs,
     controlCost,
     capacity,
+    dispatch,
 ];
