--- a/bench/src/DispatchLoad.ts
+++ b/bench/src/DispatchLoad.ts
@@ -113,7 +113,7 @@
             onOpen: () => jobs.handleOwnerChange(),
             onMessage: message => {
                 if (message.type === "answer") {
-                    jobs.handleAnswer(ownerId, message.id, message.answer);
+                    jobs.handleAnswer(ownerId, message.id, message.answer, message.submission);
                 }
             },
             onClose: () => {
@@ -124,8 +124,9 @@
         const jobs = new PendingJobs({
             getOwner: () => ({
                 id: ownerId,
-                submit: request => link.send({ type: "submit", request }),
+                submit: (request, submission) => link.send({ type: "submit", request, submission }),
                 cancel: id => void link.send({ type: "cancel", id }),
+                withdraw: id => void link.send({ type: "withdraw", id }),
             }),
             clock,
             timers,
--- a/bench/src/dispatchOwnerProcess.ts
+++ b/bench/src/dispatchOwnerProcess.ts
@@ -103,11 +103,11 @@
 ): Session<ToPeer> => ({
     onMessage: message => {
         if (message.type === "submit") {
-            const { id } = message.request;
+            const { request: { id }, submission } = message;
             scheduler.submit(
                 message.request,
                 newSubmitter(submitterKey, answer => {
-                    reply({ type: "answer", id, answer });
+                    reply({ type: "answer", id, submission, answer });
                 }),
             );
         }
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -17,7 +17,7 @@
 import type { Run, RunOutcome } from "./RunTable";
 import { applyResubmission, getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logAbortedJob, logPlacement, logStalledRun } from "./schedulerLog";
+import { logAbortedJob, logClosedJob, logPlacement, logStalledRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
 import { TaskSpiller } from "./TaskSpiller";
 import type { TaskSpillerOptions } from "./TaskSpiller";
@@ -364,13 +364,7 @@
             }
         }
         this.spiller.cancel(job);
-        this.options.logger.info("job closed", {
-            job: job.request.id,
-            reason,
-            done: job.done,
-            tasks: job.tasks.length,
-            ageMs: Math.round(this.options.clock.now() - job.receivedAt),
-        });
+        logClosedJob(this.options, job, reason);
     }
 
     /** Aborts jobs that cannot meet their deadline, and tries to place the waiting ones. */
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -86,3 +86,12 @@
         overdueMs: Math.round(clock.now() - job.startBy),
         ...capacity,
     });
+
+export const logClosedJob = ({ clock, logger }: SchedulerLogContext, job: ScheduledJob, reason: string): void =>
+    logger.info("job closed", {
+        job: job.request.id,
+        reason,
+        done: job.done,
+        tasks: job.tasks.length,
+        ageMs: Math.round(clock.now() - job.receivedAt),
+    });
