Entries: fewer periodic wake-ups while nothing is to do

Waiting jobs are checked only while there are any (50 wake-ups a second), ownership every 100 ms instead of 50 (changes of connections are handled at once as before), the loop's delay every 100 ms instead of 50.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -42,7 +42,7 @@
 }
 
 /** Interval at which the election of the owner of the zone's workers is updated. */
-const electionPeriodMs = 50;
+const electionPeriodMs = 100;
 /** Longest time a leaving owner postpones the transfer of its workers while tasks are spilled between zones. */
 const transferTimeoutMs = 1_000;
 
--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -42,12 +42,11 @@
 
 export class PendingJobs {
     private readonly jobs = new Map<JobId, PendingJob>();
-    private readonly unsubscribe: Unsubscribe;
+    /** Cancels the periodic check, which runs only while a caller waits. */
+    private cancelCheck: Unsubscribe | undefined;
     private submissionCount = 0;
 
-    constructor(private readonly options: PendingJobsOptions) {
-        this.unsubscribe = options.timers.every(schedulerTickMs, () => this.tick());
-    }
+    constructor(private readonly options: PendingJobsOptions) {}
 
     get openJobs(): number {
         return this.jobs.size;
@@ -55,7 +54,7 @@
 
     /** Answers every caller that still waits, as the instance shuts down. */
     stop(): void {
-        this.unsubscribe();
+        this.cancelCheck?.();
         for (const job of [...this.jobs.values()]) {
             this.cancelAtOwners(job);
             this.answer(job, this.getUnfinishedAnswer(job, "the entry ends"));
@@ -77,6 +76,7 @@
             };
             this.jobs.set(request.id, job);
         }
+        this.cancelCheck ??= this.options.timers.every(schedulerTickMs, () => this.tick());
         job.waiters.add(waiter);
         this.submitToOwner(job);
         return () => this.removeWaiter(request.id, waiter);
@@ -215,6 +215,10 @@
                 this.submitToOwner(job);
             }
         }
+        if (this.jobs.size === 0) {
+            this.cancelCheck?.();
+            this.cancelCheck = undefined;
+        }
     }
 
     private getUnfinishedAnswer(job: PendingJob, reason: string): JobAnswer {
--- a/packages/telemetry/src/LoopDelayMonitor.ts
+++ b/packages/telemetry/src/LoopDelayMonitor.ts
@@ -8,7 +8,7 @@
 import type { Logger } from "./logger";
 import type { Metrics } from "./Metrics";
 
-const samplePeriodMs = 50;
+const samplePeriodMs = 100;
 const reportPeriodMs = 1_000;
 /** Delay from which a report is written. */
 const reportedDelayMs = 50;
