Tests: answers of an earlier release, which name no submission, still count

During an update a zone can hold entries of both releases. The branch for messages without a number had no test; both tests pass with it and fail without it, as such answers would be ignored and callers told `unknown` at their deadline.

--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -136,6 +136,15 @@
         expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
     });
 
+    test("an answer that names no submission, from an earlier release, counts while the job is with its owner", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.pendingJobs.handleAnswer("owner-2", toJobId("a"), refusal, undefined);
+        expect(fixture.answers.size).toBe(0);
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "completed" }, undefined);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
     test("a report on an earlier submission does not hide that tasks may run in another zone", () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
--- a/packages/dispatch/tests/spilling.test.ts
+++ b/packages/dispatch/tests/spilling.test.ts
@@ -87,6 +87,14 @@
         expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
     });
 
+    test("an answer that names no submission, from an earlier release, ends the tasks forwarded to its zone", async () => {
+        const { fixture, scheduler, sent } = await newSpillFixture();
+        fixture.submit(scheduler, fixture.newJob("a", { tasks: 4 }));
+        await fixture.time.advance(150);
+        scheduler.handleRemoteAnswer("eire-cork", sent[0]!.id, { kind: "completed" }, undefined);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
     test("the submitter is informed once the job has no more tasks in other zones", async () => {
         const { fixture, scheduler, sent, submissions } = await newSpillFixture();
         fixture.submit(scheduler, fixture.newJob("a", { tasks: 4, runMs: 200 }));
