Spilled tasks of a resubmitted job are refused when there is no room, not answered as unknown

Seen: after a change of owner, a job whose tasks were forwarded to a zone that had just filled up ended as `unknown`, while its own zone could still have run it.

Cause: the flag `resubmitted` is about the submitter's zone, but the other zone's scheduler read it as its own and answered `unknown`, which ends the whole job; a refusal puts the tasks back into the queue.

Change: forwarded tasks of which none was started are refused, unless the job may have run in other zones. The owner that forwarded them still does not refuse the job to its caller.

Failing before: one test in spilling.test.ts.

--- a/packages/dispatch/src/jobTimeouts.ts
+++ b/packages/dispatch/src/jobTimeouts.ts
@@ -22,10 +22,14 @@
     return isOverdue || (view.now > job.startBy && canNoLongerStart(job, view));
 };
 
-/** The answer to an aborted job; a refusal only when none of its tasks can have run. */
+/**
+ * The answer to an aborted job; a refusal only when none of its tasks can have run. A refusal to the owner of another
+ * zone speaks of this zone alone, where tasks that were not forwarded before cannot have run; that owner still knows
+ * that its job was resubmitted.
+ */
 export const newAbortAnswer = (job: ScheduledJob): JobAnswer => {
-    const { resubmitted, mayRunElsewhere } = job.request;
-    return job.started === 0 && !resubmitted && !mayRunElsewhere
+    const { resubmitted, mayRunElsewhere, spilled } = job.request;
+    return job.started === 0 && (!resubmitted || spilled) && !mayRunElsewhere
         ? { kind: "refused", reason: "no room in time", retryAfterMs: refusalRetryMs }
         : { kind: "unknown", reason: "not ended in time, and tasks of it may have run" };
 };
--- a/packages/dispatch/tests/spilling.test.ts
+++ b/packages/dispatch/tests/spilling.test.ts
@@ -166,6 +166,21 @@
         expect(fixture.answers.get("there")?.kind).toBe("refused");
     });
 
+    test("spilled tasks of a job that came from a former owner are refused as well, unless they may run here", async () => {
+        const fixture = new SchedulerFixture(1);
+        const scheduler = fixture.newScheduler(1);
+        await fixture.time.advance(20);
+        fixture.submit(scheduler, fixture.newJob("here", { tasks: 2, runMs: 2_000, objectiveMs: 4_000 }));
+        await fixture.time.advance(10);
+        const options = { spilled: true, resubmitted: true };
+        fixture.submit(scheduler, fixture.newJob("there", options));
+        fixture.submit(scheduler, fixture.newJob("anywhere", { ...options, mayRunElsewhere: true }));
+        await fixture.time.advance(10);
+        expect(fixture.answers.get("there")?.kind).toBe("refused");
+        expect(fixture.answers.get("anywhere")?.kind).toBe("unknown");
+        expect(fixture.startedTasks).not.toContain("there.0");
+    });
+
     test("a job that may run in another zone waits until that is certainly over", async () => {
         const fixture = new SchedulerFixture(1);
         const scheduler = fixture.newScheduler(1);
