Build the record of a run field by field

Cause: each start copied the five fields of a run with a spread into an object literal that adds others, for which the runtime uses its slow path. In the profile the function led the scheduler's own time, 5 % and its garbage besides. Change: the fields are named.

--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -28,8 +28,12 @@
 
 type NewRun = Pick<Run, "task" | "run" | "request" | "orderedAt" | "startDeadline">;
 
-export const newRun = (given: NewRun): Run => ({
-    ...given,
+export const newRun = ({ task, run, request, orderedAt, startDeadline }: NewRun): Run => ({
+    task,
+    run,
+    request,
+    orderedAt,
+    startDeadline,
     confirmedAt: 0,
     state: "ordered",
     stopOrderedAt: undefined,
