--- a/bench/src/benches/dispatch.ts
+++ b/bench/src/benches/dispatch.ts
@@ -22,7 +22,7 @@
 /** The same for all numbers of workers, so that they are compared with code compiled alike. */
 const warmUpRate = 240;
 const warmUpMs: Milliseconds = 5_000;
-const budgetWarmUpMs: Milliseconds = 2_000;
+const budgetWarmUpMs: Milliseconds = 3_000;
 const measuredMs: Milliseconds = 5_000;
 const microsecondsPerMillisecond = 1_000;
 /** Starts per worker, starts and rounds of the measurement of the scheduler alone; the cheapest round counts. */
@@ -33,7 +33,10 @@
 const getShare = (jobs: readonly JobRecord[], isCounted: (job: JobRecord) => boolean): number =>
     round(jobs.filter(isCounted).length / jobs.length);
 
-const getMetrics = (suffix: string, { cost, jobs, counts, disconnections }: DispatchResult): Metrics => ({
+const getMetrics = (
+    suffix: string,
+    { cost, jobs, counts, disconnections, standInDelayP99Ms }: DispatchResult,
+): Metrics => ({
     [`processorMsPerStart${suffix}`]: round(cost.processorMs / cost.starts),
     [`choiceMicrosecondsPerStart${suffix}`]: round(cost.choiceMs * microsecondsPerMillisecond / cost.starts, 1),
     [`cores${suffix}`]: round(cost.processorMs / cost.elapsedMs),
@@ -50,6 +53,7 @@
     [`doubledRuns${suffix}`]: counts.doubledRuns,
     [`connections${suffix}`]: counts.connections,
     [`disconnections${suffix}`]: disconnections,
+    [`standInDelayP99Ms${suffix}`]: round(standInDelayP99Ms, 1),
 });
 
 /** Processor milliseconds of the scheduler alone for each start, by number of workers. */
--- a/bench/src/dispatchDeployment.ts
+++ b/bench/src/dispatchDeployment.ts
@@ -18,6 +18,7 @@
     ToProcess,
     WorkersArguments,
 } from "./dispatchMessages";
+import { LoopDelay } from "./LoopDelay";
 
 export interface DispatchRun {
     readonly workers: number;
@@ -38,6 +39,8 @@
     readonly counts: StandInCounts;
     /** How often a submitting entry lost its connection to the owner. */
     readonly disconnections: number;
+    /** Event loop delay of the load and the stand-in workers; when it is long, the run says little about the owner. */
+    readonly standInDelayP99Ms: Milliseconds;
 }
 
 /** Time in which the owner connects to its workers and reads their lists. */
@@ -60,15 +63,19 @@
         tell(owner, { type: "limit", share: run.processorShare });
         await load.run(run.taskRate, limitedSettleMs);
     }
+    const loadDelay = new LoopDelay();
+    loadDelay.restart();
+    tell(workers, { type: "begin" });
     tell(owner, { type: "begin" });
     const jobs = await load.run(run.taskRate, run.measuredMs);
     const { cost } = await ask<FromOwner, "cost">(owner, "cost");
     await load.drain();
-    const { counts } = await ask<FromWorkers, "counts">(workers, "counts");
+    const { counts, loopDelayP99Ms } = await ask<FromWorkers, "counts">(workers, "counts");
+    const standInDelayP99Ms = Math.max(loopDelayP99Ms, loadDelay.getPercentileMs(99));
     const { disconnections } = load;
     load.stop();
     await Promise.all([stop(owner), stop(workers)]);
-    return { cost, jobs, counts, disconnections };
+    return { cost, jobs, counts, disconnections, standInDelayP99Ms };
 };
 
 const start = (program: string, programArguments: object, options: readonly string[]): ChildProcess =>
--- a/bench/src/dispatchMessages.ts
+++ b/bench/src/dispatchMessages.ts
@@ -41,4 +41,4 @@
 
 export type FromWorkers =
     | { readonly type: "listening"; readonly addresses: readonly (readonly [id: string, address: Address])[]; }
-    | { readonly type: "counts"; readonly counts: StandInCounts; };
+    | { readonly type: "counts"; readonly counts: StandInCounts; readonly loopDelayP99Ms: Milliseconds; };
--- a/bench/src/dispatchOwnerProcess.ts
+++ b/bench/src/dispatchOwnerProcess.ts
@@ -12,15 +12,13 @@
 import type { LinkEnvironment, Session } from "@anvilmux/links";
 import { connectHttpWorker } from "@anvilmux/platform";
 import { Metrics, newLogger, newStandardOutputWriter, setLogDestination } from "@anvilmux/telemetry";
-import { monitorEventLoopDelay } from "node:perf_hooks";
 import { workerMillicores, workerService } from "./dispatchMessages";
 import type { FromOwner, OwnerArguments, OwnerCost, ToProcess } from "./dispatchMessages";
+import { LoopDelay } from "./LoopDelay";
 import { limitProcessor } from "./processorBudget";
 
 const zone = "eire-dub";
 const fencingToken = 1;
-const loopDelayResolutionMs = 5;
-const nanosecondsPerMillisecond = 1_000_000;
 
 /** Runs until the process that started this one disconnects or ends. */
 export const runOwner = async (text: string): Promise<void> => {
@@ -132,7 +130,7 @@
 }
 
 const newCostMeter = (metrics: Metrics, choiceTimer: ChoiceTimer): CostMeter => {
-    const loopDelay = monitorEventLoopDelay({ resolution: loopDelayResolutionMs });
+    const loopDelay = new LoopDelay();
     let beginAt = performance.now();
     let processorBefore = process.cpuUsage();
     let startsBefore = 0;
@@ -140,8 +138,6 @@
     let choiceMsBefore = 0;
     const getStarts = () => metrics.getCount("anvilmux_start_orders_total");
     const getWatches = () => metrics.getCount("anvilmux_worker_looks_total");
-    const getDelayMs = (percentile: number) =>
-        Math.max(0, loopDelay.percentile(percentile) / nanosecondsPerMillisecond - loopDelayResolutionMs);
     return {
         begin: () => {
             beginAt = performance.now();
@@ -149,8 +145,7 @@
             startsBefore = getStarts();
             watchesBefore = getWatches();
             choiceMsBefore = choiceTimer.getTotalMs();
-            loopDelay.reset();
-            loopDelay.enable();
+            loopDelay.restart();
         },
         end: () => {
             const processor = process.cpuUsage(processorBefore);
@@ -160,8 +155,8 @@
                 starts: getStarts() - startsBefore,
                 watches: getWatches() - watchesBefore,
                 choiceMs: choiceTimer.getTotalMs() - choiceMsBefore,
-                loopDelayMedianMs: getDelayMs(50),
-                loopDelayP99Ms: getDelayMs(99),
+                loopDelayMedianMs: loopDelay.getPercentileMs(50),
+                loopDelayP99Ms: loopDelay.getPercentileMs(99),
             };
         },
     };
--- a/bench/src/dispatchWorkersProcess.ts
+++ b/bench/src/dispatchWorkersProcess.ts
@@ -3,6 +3,7 @@
 import { StandInWorkers } from "@anvilmux/platform";
 import { workerMillicores } from "./dispatchMessages";
 import type { FromWorkers, ToProcess, WorkersArguments } from "./dispatchMessages";
+import { LoopDelay } from "./LoopDelay";
 
 /** Runs until the process that started this one disconnects or ends. */
 export const runWorkers = async (text: string): Promise<void> => {
@@ -10,9 +11,13 @@
     const workers = new StandInWorkers({ count, millicores: workerMillicores });
     const addresses = [...await workers.listen()];
     process.on("disconnect", () => process.exit(0));
+    const loopDelay = new LoopDelay();
     process.on("message", (message: ToProcess) => {
-        if (message.type === "end") {
-            send({ type: "counts", counts: workers.counts });
+        if (message.type === "begin") {
+            loopDelay.restart();
+        }
+        else if (message.type === "end") {
+            send({ type: "counts", counts: workers.counts, loopDelayP99Ms: loopDelay.getPercentileMs(99) });
         }
     });
     send({ type: "listening", addresses });
