--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -8,21 +8,24 @@
 import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
 import { hashText } from "@anvilmux/common";
 import { ConfigurationHolder } from "@anvilmux/control";
-import {
-    capacityReportPeriodMs,
-    chooseBestFit,
-    PendingJobs,
-    QueueTable,
+import { capacityReportPeriodMs, PendingJobs, QueueTable, WorkerRelay, ZoneElection } from "@anvilmux/dispatch";
+import type {
+    ConnectWorker,
+    Fitness,
+    JobAnswer,
+    JobRequest,
+    OwnerLink,
     TaskScheduler,
-    ZoneElection,
+    WorkerAnnouncement,
 } from "@anvilmux/dispatch";
-import type { ConnectWorker, Fitness, JobAnswer, JobRequest, OwnerLink, WorkerAnnouncement } from "@anvilmux/dispatch";
-import { ControlLinks, OwnerLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
-import type { EntryMember, FromPeer, ZoneOwner } from "@anvilmux/fleet";
+import { ControlLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
+import type { EntryMember, FromPeer, ToPeer } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
 import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
+import { getProcessorTime, LoopDelayMonitor } from "@anvilmux/telemetry";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { Environment } from "../environment";
+import { WorkerOwnership } from "./WorkerOwnership";
 
 export interface DispatchEntryOptions {
     readonly instanceId: InstanceId;
@@ -39,7 +42,7 @@
 }
 
 /** Interval at which the election of the owner of the zone's workers is updated. */
-const electionPeriodMs = 50;
+const electionPeriodMs = 100;
 /** Longest time a leaving owner postpones the transfer of its workers while tasks are spilled between zones. */
 const transferTimeoutMs = 1_000;
 
@@ -51,11 +54,9 @@
     private readonly pendingJobs: PendingJobs;
     private readonly election: ZoneElection;
     private readonly mesh: ZoneMesh;
+    private readonly ownership: WorkerOwnership;
+    private readonly relay: WorkerRelay;
     private control: ControlLinks | undefined;
-    private scheduler: TaskScheduler | undefined;
-    private ownerLinks: OwnerLinks | undefined;
-    private owners: readonly ZoneOwner[] = [];
-    private lastCapacityReport = "";
     private queues = new QueueTable([]);
     private leaving = false;
     private transferDeadline: Milliseconds = 0;
@@ -94,13 +95,22 @@
             onClaim: claim => this.handleClaimChange(claim),
             onOwner: () => this.pendingJobs.handleOwnerChange(),
         });
+        this.relay = new WorkerRelay({ connect: options.connectWorker, clock, timers });
         this.mesh = this.newMesh();
+        this.ownership = new WorkerOwnership({
+            ...options,
+            self: this.self,
+            checker: this.checker,
+            mesh: this.mesh,
+            getFencingToken: () => this.election.claim,
+            onFenced: fencingToken => this.election.handleFenced(fencingToken),
+        });
     }
 
     /** Rejects when the link port cannot be bound. */
     async start(): Promise<void> {
         await this.mesh.start();
-        const { environment, controlSeeds, logger } = this.options;
+        const { environment, controlSeeds, logger, metrics } = this.options;
         this.control = new ControlLinks({
             self: this.self,
             seeds: controlSeeds,
@@ -109,26 +119,28 @@
             getConfigurationIndex: () => this.configurationHolder.index,
             onMembers: members => this.mesh.handleMembers(members),
             getClaim: () => this.election.claim,
-            onOwners: owners => this.handleOwners(owners),
+            onOwners: owners => this.ownership.handleOwners(owners),
             onWorkers: announcements => this.handleWorkers(announcements),
             onConfiguration: (index, envelope) => this.applyConfiguration(index, envelope),
         });
+        const loopDelay = new LoopDelayMonitor({ ...environment, logger, metrics, getProcessorTime });
         const unsubscribers = [
+            () => loopDelay.stop(),
             environment.timers.every(electionPeriodMs, () => this.election.update()),
-            environment.timers.every(capacityReportPeriodMs, () => this.reportFreeCapacity()),
+            environment.timers.every(capacityReportPeriodMs, () => this.ownership.reportFreeCapacity()),
         ];
         this.unsubscribe = () => unsubscribers.forEach(unsubscribe => unsubscribe());
-        this.options.metrics.gauge("anvilmux_open_jobs", {}, () => this.pendingJobs.openJobs);
-        this.options.metrics.gauge("anvilmux_waiting_jobs", {}, () => this.scheduler?.waitingJobs ?? 0);
-        this.options.metrics.gauge("anvilmux_configuration_index", {}, () => this.configurationHolder.index);
+        metrics.gauge("anvilmux_open_jobs", {}, () => this.pendingJobs.openJobs);
+        metrics.gauge("anvilmux_waiting_jobs", {}, () => this.scheduler?.waitingJobs ?? 0);
+        metrics.gauge("anvilmux_configuration_index", {}, () => this.configurationHolder.index);
     }
 
     stop(): void {
         this.unsubscribe();
         // Pending jobs are cancelled at their owner, so this comes before the connections are closed.
         this.pendingJobs.stop();
-        this.scheduler?.stop();
-        this.ownerLinks?.stop();
+        this.ownership.release();
+        this.relay.stop();
         this.control?.stop();
         this.mesh.stop();
         this.checker.stop();
@@ -181,6 +193,10 @@
         this.mesh.announceState();
     }
 
+    private get scheduler(): TaskScheduler | undefined {
+        return this.ownership.scheduler;
+    }
+
     private getFitness(): Fitness {
         if (!this.isConfigured) {
             return "unfit";
@@ -203,32 +219,46 @@
             checker: this.checker,
             environment: { ...environment, logger },
             getState: () => ({ claim: this.election.claim, fitness: this.getFitness() }),
-            onChange: () => this.election.update(),
+            onChange: () => {
+                this.ownership.relayedWorkers.handleRelaysChanged();
+                this.election.update();
+            },
             onReply: (peerId, message) => this.handleReply(peerId, message),
             getWorkers: () => this.workers.getAll(),
             onWorkers: announcements => this.handleWorkers(announcements),
-            onPeerDisconnected: peerId => this.pendingJobs.handleOwnerDisconnected(peerId),
+            onPeerDisconnected: peerId => {
+                this.ownership.relayedWorkers.handleDisconnected(peerId);
+                this.pendingJobs.handleOwnerDisconnected(peerId);
+            },
             onSubmit: (submitter, message, reply) => {
-                this.handleSubmit(message.request, submitter, reply);
+                this.handleSubmit(message, submitter, reply);
             },
             onRemoteAcknowledged: (submitter, message) =>
                 this.scheduler?.handleRemoteAcknowledgement(message.id, submitter),
             onCancel: (submitter, message) => this.scheduler?.cancel(message.id, submitter, "cancelled by its entry"),
+            onWithdraw: (submitter, message) => this.scheduler?.withdraw(message.id, submitter),
             onSubmitterDisconnected: submitter => this.scheduler?.handleSubmitterDisconnected(submitter),
+            onWorkerCall: (call, reply) =>
+                void this.relay.handle(call, answer => reply({ type: "worker-answer", number: call.number, answer })),
         });
     }
 
-    private handleSubmit(request: JobRequest, submitter: string, reply: (message: FromPeer) => void): void {
-        const answer = (jobAnswer: JobAnswer) => reply({ type: "answer", id: request.id, answer: jobAnswer });
+    private handleSubmit(
+        { request, submission }: Extract<ToPeer, { type: "submit"; }>,
+        submitter: string,
+        reply: (message: FromPeer) => void,
+    ): void {
+        const { id } = request;
+        const answer = (jobAnswer: JobAnswer) => reply({ type: "answer", id, submission, answer: jobAnswer });
         if (this.scheduler) {
             this.scheduler.submit(request, {
                 key: submitter,
                 answer,
                 announceRemoteTasks: () => {
-                    reply({ type: "away", id: request.id });
+                    reply({ type: "away", id, submission });
                     return false;
                 },
-                announceNoRemoteTasks: () => reply({ type: "back", id: request.id }),
+                announceNoRemoteTasks: () => reply({ type: "back", id, submission }),
             });
         }
         else if (request.spilled) {
@@ -244,8 +274,9 @@
         }
         return ownerId === this.self.id ? this.getLocalOwnerLink() : {
             id: ownerId,
-            submit: request => this.mesh.send(ownerId, { type: "submit", request }),
+            submit: (request, submission) => this.mesh.send(ownerId, { type: "submit", request, submission }),
             cancel: id => this.mesh.send(ownerId, { type: "cancel", id }),
+            withdraw: id => this.mesh.send(ownerId, { type: "withdraw", id }),
         };
     }
 
@@ -253,98 +284,53 @@
         const { id } = this.self;
         return {
             id,
-            submit: request => {
+            submit: (request, submission) => {
+                const mark = (hasRemoteTasks: boolean) =>
+                    this.pendingJobs.markRemoteTasks(id, request.id, hasRemoteTasks, submission);
                 this.scheduler?.submit(request, {
                     key: id,
-                    answer: answer => this.pendingJobs.handleAnswer(id, request.id, answer),
+                    answer: answer => this.pendingJobs.handleAnswer(id, request.id, answer, submission),
                     // `pendingJobs` outlives the scheduler when ownership moves to another entry.
-                    announceRemoteTasks: () => this.pendingJobs.markRemoteTasks(id, request.id, true),
-                    announceNoRemoteTasks: () => void this.pendingJobs.markRemoteTasks(id, request.id, false),
+                    announceRemoteTasks: () => mark(true),
+                    announceNoRemoteTasks: () => void mark(false),
                 });
                 return this.scheduler !== undefined;
             },
             cancel: jobId => this.scheduler?.cancel(jobId, id, "cancelled here"),
+            withdraw: jobId => this.scheduler?.withdraw(jobId, id),
         };
     }
 
     private handleClaimChange(claim: number): void {
-        const isOwner = claim > 0;
-        if (isOwner && this.scheduler) {
-            this.scheduler.handleTokenRaised();
-        }
-        else if (isOwner) {
-            this.scheduler = this.newScheduler();
-            this.ownerLinks = this.newOwnerLinks();
-            this.ownerLinks.handleOwners(this.owners);
-            this.workers.getAll().forEach(worker => this.scheduler?.setWorker(worker));
+        if (claim > 0) {
+            this.ownership.assume(this.workers.getAll());
         }
         else {
-            this.scheduler?.stop();
-            this.scheduler = undefined;
-            this.ownerLinks?.stop();
-            this.ownerLinks = undefined;
+            this.ownership.release();
             this.pendingJobs.handleOwnerDisconnected(this.self.id);
         }
         this.mesh.announceState();
         this.control?.announceClaim();
     }
 
-    private newOwnerLinks(): OwnerLinks {
-        const { environment, logger } = this.options;
-        return new OwnerLinks({
-            self: this.self,
-            checker: this.checker,
-            environment: { ...environment, logger },
-            onAnswer: (zone, id, answer) => this.scheduler?.handleRemoteAnswer(zone, id, answer),
-            onOwnerDisconnected: zone => this.scheduler?.handleRemoteDisconnected(zone),
-        });
-    }
-
-    private handleOwners(owners: readonly ZoneOwner[]): void {
-        this.owners = owners;
-        this.ownerLinks?.handleOwners(owners);
-    }
-
     private handleReply(peerId: string, message: FromPeer): void {
         switch (message.type) {
             case "answer":
-                this.pendingJobs.handleAnswer(peerId, message.id, message.answer);
+                this.pendingJobs.handleAnswer(peerId, message.id, message.answer, message.submission);
                 return;
             case "away":
-                if (this.pendingJobs.markRemoteTasks(peerId, message.id, true)) {
+                if (this.pendingJobs.markRemoteTasks(peerId, message.id, true, message.submission)) {
                     this.mesh.send(peerId, { type: "away-known", id: message.id });
                 }
                 return;
             case "back":
-                this.pendingJobs.markRemoteTasks(peerId, message.id, false);
-        }
-    }
-
-    /** Reports the zone's free capacity to the owners of other zones when it has changed. */
-    private reportFreeCapacity(): void {
-        const free = this.scheduler?.getFreeCapacity() ?? {};
-        const text = JSON.stringify(free);
-        if (text !== this.lastCapacityReport) {
-            this.lastCapacityReport = text;
-            this.mesh.announceFreeCapacity(free);
+                this.pendingJobs.markRemoteTasks(peerId, message.id, false, message.submission);
+                return;
+            case "worker-answer":
+                this.ownership.relayedWorkers.handleAnswer(message.number, message.answer);
         }
     }
 
-    private newScheduler(): TaskScheduler {
-        const { environment, logger, metrics, connectWorker } = this.options;
-        return new TaskScheduler({
-            connect: connectWorker,
-            choose: chooseBestFit,
-            getRemoteSchedulers: () => this.ownerLinks?.getRemoteSchedulers() ?? [],
-            getFencingToken: () => this.election.claim,
-            onFenced: fencingToken => this.election.handleFenced(fencingToken),
-            clock: environment.clock,
-            timers: environment.timers,
-            logger,
-            metrics,
-        });
-    }
-
     private handleWorkers(announcements: readonly WorkerAnnouncement[]): void {
         for (const announcement of announcements) {
             if (this.workers.record(announcement)) {
--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -8,6 +8,7 @@
 import { fits } from "./types";
 import type { ConnectWorker, FreeCapacity, JobRequest, Resources, WorkerAnnouncement, WorkerId } from "./types";
 import type { ChooseWorker } from "./workerChoice";
+import { WorkerIndex } from "./WorkerIndex";
 import { WorkerRecord } from "./WorkerRecord";
 import { WorkerSession } from "./WorkerSession";
 
@@ -35,6 +36,7 @@
 
 export class OwnedWorkers {
     private readonly workers = new Map<WorkerId, OwnedWorker>();
+    private readonly index = new WorkerIndex();
 
     constructor(private readonly options: OwnedWorkersOptions) {}
 
@@ -51,51 +53,43 @@
 
     /** Why a job can never run here; undefined when it can, or when no worker of its service is known. */
     findPermanentObstacle(request: JobRequest): string | undefined {
-        const capacities = [...this.workers.values()]
-            .filter(worker => worker.session.announcement.service === request.service)
-            .map(worker => worker.session.announcement.room);
-        const oversized = request.tasks.find(task => !capacities.some(capacity => fits(capacity, task)));
-        return capacities.length > 0 && oversized ? `no worker is large enough for task ${oversized.name}` : undefined;
+        const oversized = request.tasks.find(task => this.isTooLarge(request.service, task));
+        return oversized && `no worker is large enough for task ${oversized.name}`;
     }
 
     /** True once every worker has listed its runs. */
     areAllListed(): boolean {
-        return [...this.workers.values()].every(worker => worker.session.isListed);
+        for (const { session } of this.workers.values()) {
+            if (!session.isListed) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Free processors of the usable workers by service, the largest first. */
     getFreeCapacity(): FreeCapacity {
-        const byService = new Map<string, number[]>();
-        for (const { session } of this.workers.values()) {
-            const { service } = session.announcement;
-            if (session.isUsable && session.free.millicores > 0) {
-                byService.set(service, [...byService.get(service) ?? [], session.free.millicores]);
-            }
-        }
-        return Object.fromEntries([...byService].map(([service, free]) => [
-            service,
-            free.sort((left, right) => right - left).slice(0, maximumReportedWorkers),
-        ]));
+        const byService = [...this.index.services].map(service => [service, this.getLargestFree(service)] as const);
+        return Object.fromEntries(byService.filter(([, free]) => free.length > 0));
     }
 
     /** Capacity of a service, for the log. */
     describeCapacity(service: string): Omit<ObservedCapacity, "waitingJobs" | "otherZones"> {
-        const sessions = [...this.workers.values()]
-            .map(worker => worker.session)
-            .filter(session => session.announcement.service === service);
-        const free = sessions.filter(session => session.isUsable).map(session => session.free.millicores);
-        return {
-            workers: sessions.length,
-            usableWorkers: free.length,
-            freeMillicores: free.reduce((sum, millicores) => sum + millicores, 0),
-            largestGapMillicores: Math.max(0, ...free),
-        };
+        const capacity = { workers: 0, usableWorkers: 0, freeMillicores: 0, largestGapMillicores: 0 };
+        for (const session of this.index.getAll(service)) {
+            capacity.workers += 1;
+            if (session.isUsable) {
+                capacity.usableWorkers += 1;
+                capacity.freeMillicores += session.free.millicores;
+                capacity.largestGapMillicores = Math.max(capacity.largestGapMillicores, session.free.millicores);
+            }
+        }
+        return capacity;
     }
 
     choose(service: string, needed: Resources, avoided: readonly WorkerSession[]): WorkerSession | undefined {
         return this.options.choose({
-            sessions: [...this.workers.values()].map(worker => worker.session),
-            service,
+            sessions: this.index.findWithFree(service, needed.millicores),
             needed,
             avoided,
             getPenalty: session => this.workers.get(session.id)?.record.getPenalty() ?? 0,
@@ -125,6 +119,32 @@
     close(): void {
         this.workers.forEach(worker => worker.session.close());
         this.workers.clear();
+        this.index.clear();
+    }
+
+    /** True when the service has workers and none of them, were it idle, had room for the task. */
+    private isTooLarge(service: string, task: Resources): boolean {
+        let isServed = false;
+        for (const session of this.index.getAll(service)) {
+            if (fits(session.announcement.room, task)) {
+                return false;
+            }
+            isServed = true;
+        }
+        return isServed;
+    }
+
+    private getLargestFree(service: string): readonly number[] {
+        const free: number[] = [];
+        for (const session of this.index.getAll(service)) {
+            if (session.free.millicores <= 0 || free.length === maximumReportedWorkers) {
+                break;
+            }
+            if (session.isUsable) {
+                free.push(session.free.millicores);
+            }
+        }
+        return free;
     }
 
     private pause(session: WorkerSession, pauseMs: Milliseconds): void {
@@ -142,14 +162,17 @@
             onEnd: (run, outcome) => this.options.onEnd(session, run, outcome),
             onFound: run => this.options.onFound(session, run),
             onStandstill: (run, percent) => this.options.onStandstill(session, run, percent),
+            onFreeChange: () => this.index.update(session),
             onRemoved: () => this.remove(session),
         });
         this.workers.set(announcement.id, { session, record: new WorkerRecord(this.options.clock) });
+        this.index.add(session);
     }
 
     private remove(session: WorkerSession): void {
         if (this.workers.get(session.id)?.session === session) {
             this.workers.delete(session.id);
+            this.index.remove(session);
             this.options.logger.info("worker removed", { worker: session.id });
         }
     }
--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -9,12 +9,14 @@
 import { ownerlessTimeoutMs, refusalRetryMs, schedulerTickMs } from "./constants";
 import type { JobAnswer, JobRequest } from "./types";
 
-/** Calls from this entry to the owner of the zone's workers. */
+/** Calls from this entry to an owner of the zone's workers; they remain valid when it is the owner no longer. */
 export interface OwnerLink {
     readonly id: string;
-    /** False while the owner is unreachable. */
-    readonly submit: (request: JobRequest) => boolean;
+    /** False while the owner is unreachable. What the owner reports on the job names the number `submission`. */
+    readonly submit: (request: JobRequest, submission: number) => boolean;
     readonly cancel: (id: JobId) => void;
+    /** The job goes to another owner: it starts no more tasks of it until the job is submitted to it again. */
+    readonly withdraw: (id: JobId) => void;
 }
 
 export interface PendingJobsOptions {
@@ -31,17 +33,20 @@
     /** Waiting callers; a caller that resubmits its job is added once more. */
     readonly waiters: Set<(answer: JobAnswer) => void>;
     ownerId: string | undefined;
-    everSubmitted: boolean;
+    /** Number of the latest submission to an owner, which differs from those of all other submissions of this entry. */
+    submission: number;
+    /** All owners to which it was submitted, by id. */
+    readonly owners: Map<string, OwnerLink>;
     mayRunElsewhere: boolean;
 }
 
 export class PendingJobs {
     private readonly jobs = new Map<JobId, PendingJob>();
-    private readonly unsubscribe: Unsubscribe;
+    /** Cancels the periodic check, which runs only while a caller waits. */
+    private cancelCheck: Unsubscribe | undefined;
+    private submissionCount = 0;
 
-    constructor(private readonly options: PendingJobsOptions) {
-        this.unsubscribe = options.timers.every(schedulerTickMs, () => this.tick());
-    }
+    constructor(private readonly options: PendingJobsOptions) {}
 
     get openJobs(): number {
         return this.jobs.size;
@@ -49,9 +54,9 @@
 
     /** Answers every caller that still waits, as the instance shuts down. */
     stop(): void {
-        this.unsubscribe();
+        this.cancelCheck?.();
         for (const job of [...this.jobs.values()]) {
-            this.cancelAtOwner(job);
+            this.cancelAtOwners(job);
             this.answer(job, this.getUnfinishedAnswer(job, "the entry ends"));
         }
     }
@@ -65,32 +70,44 @@
                 arrivedAt: this.options.clock.now(),
                 waiters: new Set(),
                 ownerId: undefined,
-                everSubmitted: false,
+                submission: 0,
+                owners: new Map(),
                 mayRunElsewhere: false,
             };
             this.jobs.set(request.id, job);
         }
+        this.cancelCheck ??= this.options.timers.every(schedulerTickMs, () => this.tick());
         job.waiters.add(waiter);
         this.submitToOwner(job);
         return () => this.removeWaiter(request.id, waiter);
     }
 
-    /** Passes an owner's answer to the callers; ignored unless the job is with that owner. */
-    handleAnswer(ownerId: string, id: JobId, answer: JobAnswer): void {
-        const job = this.jobs.get(id);
-        if (!job || job.ownerId !== ownerId) {
-            return;
+    /**
+     * Passes an owner's answer to the callers; ignored unless it answers the latest submission of the job to that
+     * owner. A job can be with an owner again, after another owner had it or for another caller, while an answer to an
+     * earlier submission is still on its way.
+     */
+    handleAnswer(ownerId: string, id: JobId, answer: JobAnswer, submission: number | undefined): void {
+        const job = this.findSubmitted(ownerId, id, submission);
+        if (job) {
+            this.cancelAtOwners(job, ownerId);
+            this.answer(job, answer);
         }
-        this.answer(job, answer);
     }
 
     /**
      * Records that an owner is about to forward tasks of the job to another zone, or that none of them is in another
-     * zone any longer. False when the job is not with that owner, which must then not forward any.
+     * zone any longer. False unless it reports on the latest submission of the job to that owner, which must then not
+     * forward any.
      */
-    markRemoteTasks(ownerId: string, id: JobId, hasRemoteTasks: boolean): boolean {
-        const job = this.jobs.get(id);
-        if (job?.ownerId !== ownerId) {
+    markRemoteTasks(
+        ownerId: string,
+        id: JobId,
+        hasRemoteTasks: boolean,
+        submission: number | undefined,
+    ): boolean {
+        const job = this.findSubmitted(ownerId, id, submission);
+        if (!job) {
             return false;
         }
         job.mayRunElsewhere = hasRemoteTasks;
@@ -112,6 +129,13 @@
         this.handleOwnerChange();
     }
 
+    /** An owner of an earlier release names no submission. */
+    private findSubmitted(ownerId: string, id: JobId, submission: number | undefined): PendingJob | undefined {
+        const job = this.jobs.get(id);
+        const isLatest = submission === undefined || job?.submission === submission;
+        return job?.ownerId === ownerId && isLatest ? job : undefined;
+    }
+
     private submitToOwner(job: PendingJob): void {
         const owner = this.options.getOwner();
         if (!owner || job.ownerId === owner.id) {
@@ -120,15 +144,21 @@
         const elapsed = this.options.clock.now() - job.arrivedAt;
         const request: JobRequest = {
             ...job.request,
-            resubmitted: job.everSubmitted,
+            resubmitted: job.owners.size > 0,
+            hadOtherOwner: [...job.owners.keys()].some(id => id !== owner.id),
             mayRunElsewhere: job.mayRunElsewhere,
             objectiveMs: job.request.objectiveMs - elapsed,
             remainingMs: job.request.remainingMs - elapsed,
         };
+        if (job.ownerId !== undefined) {
+            job.owners.get(job.ownerId)?.withdraw(job.request.id);
+        }
         // Set before submitting: an owner in this process may answer at once.
         job.ownerId = owner.id;
-        job.everSubmitted = true;
-        if (!owner.submit(request)) {
+        job.owners.set(owner.id, owner);
+        this.submissionCount += 1;
+        job.submission = this.submissionCount;
+        if (!owner.submit(request, job.submission)) {
             job.ownerId = undefined;
         }
     }
@@ -140,13 +170,15 @@
         }
         this.jobs.delete(id);
         this.options.logger.info("caller disconnected", { job: id });
-        this.cancelAtOwner(job);
+        this.cancelAtOwners(job);
     }
 
-    private cancelAtOwner(job: PendingJob): void {
-        const owner = this.options.getOwner();
-        if (owner && job.ownerId === owner.id) {
-            owner.cancel(job.request.id);
+    /** Cancels a job that has ended here at the owners to which it was submitted, except the one that answered it. */
+    private cancelAtOwners(job: PendingJob, answeringOwnerId?: string): void {
+        for (const owner of job.owners.values()) {
+            if (owner.id !== answeringOwnerId) {
+                owner.cancel(job.request.id);
+            }
         }
     }
 
@@ -173,20 +205,24 @@
         for (const job of [...this.jobs.values()]) {
             const age = now - job.arrivedAt;
             if (age > job.request.remainingMs) {
-                this.cancelAtOwner(job);
+                this.cancelAtOwners(job);
                 this.answer(job, this.getUnfinishedAnswer(job, "the caller's deadline has passed"));
             }
-            else if (job.ownerId === undefined && age > ownerlessTimeoutMs && !job.everSubmitted) {
+            else if (job.ownerId === undefined && age > ownerlessTimeoutMs && job.owners.size === 0) {
                 this.answer(job, this.getUnfinishedAnswer(job, "the zone's workers have no owner now"));
             }
             else if (job.ownerId === undefined) {
                 this.submitToOwner(job);
             }
         }
+        if (this.jobs.size === 0) {
+            this.cancelCheck?.();
+            this.cancelCheck = undefined;
+        }
     }
 
     private getUnfinishedAnswer(job: PendingJob, reason: string): JobAnswer {
-        return job.everSubmitted
+        return job.owners.size > 0
             ? { kind: "unknown", reason }
             : { kind: "refused", reason, retryAfterMs: refusalRetryMs };
     }
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -39,6 +39,10 @@
 export class RunTable {
     private readonly runs = new Map<TaskName, Run>();
     private usedResources: Resources = { millicores: 0, memoryMebibytes: 0, accelerators: 0 };
+    private unknownRuns = 0;
+
+    /** `onUsedChange` is called when the used resources changed. */
+    constructor(private readonly onUsedChange: () => void) {}
 
     get size(): number {
         return this.runs.size;
@@ -59,13 +63,21 @@
 
     /** True while there are runs, started by an earlier owner, whose resources are unknown. */
     hasUnknownRuns(): boolean {
-        return this.getAll().some(run => !run.request);
+        return this.unknownRuns > 0;
     }
 
+    /** Adds a run; it replaces an earlier one of its task. */
     add(run: Run): void {
+        const replaced = this.runs.get(run.task);
+        if (replaced) {
+            this.remove(replaced);
+        }
         this.runs.set(run.task, run);
         if (run.request) {
-            this.usedResources = addResources(this.usedResources, run.request);
+            this.setUsed(addResources(this.usedResources, run.request));
+        }
+        else {
+            this.unknownRuns += 1;
         }
     }
 
@@ -73,14 +85,22 @@
     setRequest(run: Run, request: TaskRequest): void {
         if (!run.request) {
             run.request = request;
-            this.usedResources = addResources(this.usedResources, request);
+            this.unknownRuns -= 1;
+            this.setUsed(addResources(this.usedResources, request));
         }
     }
 
+    /** Removes a run unless it was removed or replaced before. */
     remove(run: Run): void {
+        if (this.runs.get(run.task) !== run) {
+            return;
+        }
         this.runs.delete(run.task);
         if (run.request) {
-            this.usedResources = subtractResources(this.usedResources, run.request);
+            this.setUsed(subtractResources(this.usedResources, run.request));
+        }
+        else {
+            this.unknownRuns -= 1;
         }
     }
 
@@ -100,4 +120,9 @@
                 : run.state === "uncertain" && sentClock > run.startDeadline;
         });
     }
+
+    private setUsed(used: Resources): void {
+        this.usedResources = used;
+        this.onUsedChange();
+    }
 }
--- a/packages/dispatch/src/ScheduledJob.ts
+++ b/packages/dispatch/src/ScheduledJob.ts
@@ -18,8 +18,16 @@
     readonly avoided: WorkerSession[];
 }
 
+/** Tasks that were forwarded to another zone together. */
+export interface RemoteTasks {
+    /** Number under which they were forwarded; their answer names it. */
+    readonly submission: number;
+    readonly tasks: readonly ScheduledTask[];
+}
+
 export interface ScheduledJob {
-    readonly request: JobRequest;
+    /** As submitted last; a job that returns may have had runs at another owner meanwhile. */
+    request: JobRequest;
     readonly receivedAt: Milliseconds;
     /** Latest time at which its tasks should start; jobs are served in this order. */
     readonly startBy: Milliseconds;
@@ -33,7 +41,9 @@
     /** Whether the submitter acknowledged that tasks may run in other zones; none is forwarded before that. */
     remoteAcknowledgement: "no" | "asked" | "yes";
     /** Tasks forwarded to other zones, by zone. */
-    readonly remoteTasks: Map<string, readonly ScheduledTask[]>;
+    readonly remoteTasks: Map<string, RemoteTasks>;
+    /** True while it is with another owner; none of its tasks is started. */
+    withdrawn: boolean;
     /** True once it was answered or cancelled. */
     closed: boolean;
     /** Until then, runs started by a former owner may continue without being listed here. */
@@ -76,10 +86,27 @@
     submitter,
     remoteAcknowledgement: "no",
     remoteTasks: new Map(),
+    withdrawn: false,
     closed: false,
     uncertainUntil,
 });
 
+/**
+ * Applies a later submission of a job that is present. What an earlier one said of possible runs remains true; a later
+ * one adds to it when another owner had the job meanwhile.
+ */
+export const applyResubmission = (job: ScheduledJob, request: JobRequest, uncertainUntil: Milliseconds): void => {
+    if (!(request.hadOtherOwner ?? request.resubmitted)) {
+        return;
+    }
+    job.request = {
+        ...job.request,
+        resubmitted: job.request.resubmitted || request.resubmitted,
+        mayRunElsewhere: job.request.mayRunElsewhere || request.mayRunElsewhere,
+    };
+    job.uncertainUntil = Math.max(job.uncertainUntil, uncertainUntil);
+};
+
 /** Marks a task as placed on a worker, where its run is ordered or already in progress. */
 export const markPlaced = (
     job: ScheduledJob,
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -15,9 +15,9 @@
 import { RunCompletionHandler } from "./RunCompletionHandler";
 import { getLowestRunNumber } from "./runNumbers";
 import type { Run, RunOutcome } from "./RunTable";
-import { getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
+import { applyResubmission, getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logAbortedJob, logPlacement, logStalledRun } from "./schedulerLog";
+import { logAbortedJob, logClosedJob, logPlacement, logStalledRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
 import { TaskSpiller } from "./TaskSpiller";
 import type { TaskSpillerOptions } from "./TaskSpiller";
@@ -54,6 +54,10 @@
         this.spiller = new TaskSpiller(options, events);
         this.workers = new OwnedWorkers({
             ...options,
+            onFenced: fencingToken => {
+                this.spiller.handleFenced(fencingToken);
+                options.onFenced(fencingToken);
+            },
             onEnd: (session, run, outcome) => this.handleRunCompletion(session, run, outcome),
             onFound: (session, run) => this.handleFoundRun(session, run),
             onStandstill: (session, run, percent) => this.handleStalledRun(session, run, percent),
@@ -80,7 +84,10 @@
             return;
         }
         const present = this.jobs.get(request.id);
+        const now = this.options.clock.now();
+        const uncertainUntil = getUncertaintyEnd(request, now, this.ownsSince);
         if (present && hasSameTasks(present.request, request)) {
+            applyResubmission(present, request, uncertainUntil);
             this.replaceSubmitter(present, submitter);
             return;
         }
@@ -91,8 +98,7 @@
             submitter.answer({ kind: "refused", reason: "the owner of the zone's workers changes", retryAfterMs: 0 });
             return;
         }
-        const now = this.options.clock.now();
-        const job = newScheduledJob(request, submitter, now, getUncertaintyEnd(request, now, this.ownsSince));
+        const job = newScheduledJob(request, submitter, now, uncertainUntil);
         const obstacle = this.workers.findPermanentObstacle(request);
         if (obstacle !== undefined) {
             this.answer(job, { kind: "failed", reason: obstacle });
@@ -100,12 +106,13 @@
         }
         this.jobs.add(job);
         job.tasks.forEach(task => this.adopt(job, task));
-        this.jobs.prune();
+        this.jobs.prune(job);
         this.schedulePlacement();
     }
 
     private replaceSubmitter(job: ScheduledJob, submitter: JobSubmitter): void {
         job.submitter = submitter;
+        job.withdrawn = false;
         job.remoteAcknowledgement = "no";
         if (job.remoteTasks.size > 0) {
             job.remoteAcknowledgement = submitter.announceRemoteTasks() ? "yes" : "asked";
@@ -120,6 +127,20 @@
         }
     }
 
+    /**
+     * Starts no more tasks of a job that its submitter submits to another owner. Runs go on, so that the other owner
+     * finds them; without any, the job is closed.
+     */
+    withdraw(id: JobId, submitterKey: string): void {
+        const job = this.jobs.get(id);
+        if (job?.submitter.key === submitterKey) {
+            job.withdrawn = true;
+            if (job.tasks.every(task => task.state === "waiting" || task.state === "done")) {
+                this.close(job, "withdrawn by its entry");
+            }
+        }
+    }
+
     /** Closes the jobs of a disconnected submitter after a delay, unless another submitter resubmitted them by then. */
     handleSubmitterDisconnected(submitterKey: string): void {
         const closeJobs = (spilled: boolean) => {
@@ -143,10 +164,10 @@
     }
 
     /** Handles the outcome of tasks forwarded to another zone. */
-    handleRemoteAnswer(zone: string, id: JobId, answer: JobAnswer): void {
+    handleRemoteAnswer(zone: string, id: JobId, answer: JobAnswer, submission: number | undefined): void {
         const job = this.jobs.get(id);
         if (job) {
-            this.spiller.handleAnswer(zone, job, answer);
+            this.spiller.handleAnswer(zone, job, answer, submission);
         }
     }
 
@@ -210,25 +231,29 @@
         if (this.closed) {
             return;
         }
+        const view = this.getView();
         let passedOver = 0;
         for (const job of this.jobs.getWaiting()) {
             if (passedOver >= maximumPassedOver) {
                 break;
             }
-            if (!this.placeTasks(job)) {
-                this.spill(job);
+            if (job.withdrawn) {
+                continue;
+            }
+            if (!this.placeTasks(job, view)) {
+                this.spill(job, view);
                 passedOver += job.waiting > 0 ? 1 : 0;
             }
+            this.jobs.prune(job);
         }
-        this.jobs.prune();
-        this.jobs.getWaiting()
-            .filter(job => job.request.spilled && job.started === 0)
+        this.jobs.getWaitingFromOtherZones()
+            .filter(job => job.started === 0)
             .forEach(job => this.abortJob(job));
     }
 
     /** Places the waiting tasks of a job; true when all of them were placed. */
-    private placeTasks(job: ScheduledJob): boolean {
-        if (mayHaveUnseenRuns(job, this.getView())) {
+    private placeTasks(job: ScheduledJob, view: SchedulerView): boolean {
+        if (mayHaveUnseenRuns(job, view)) {
             return false;
         }
         for (const task of job.tasks) {
@@ -239,8 +264,8 @@
         return true;
     }
 
-    private spill(job: ScheduledJob): void {
-        if (!job.request.spilled && !this.transferring && !mayHaveUnseenRuns(job, this.getView())) {
+    private spill(job: ScheduledJob, view: SchedulerView): void {
+        if (!job.request.spilled && !this.transferring && !mayHaveUnseenRuns(job, view)) {
             this.spiller.spill(
                 job,
                 job.tasks.filter(task => task.state === "waiting" && !this.liveRuns.has(task.request.name)),
@@ -270,7 +295,7 @@
         const owner = this.jobs.findTask(run.task);
         if (owner) {
             this.adopt(owner.job, owner.task);
-            this.jobs.prune();
+            this.jobs.prune(owner.job);
             return;
         }
         this.options.timers.after(orphanGraceMs, () => {
@@ -339,13 +364,7 @@
             }
         }
         this.spiller.cancel(job);
-        this.options.logger.info("job closed", {
-            job: job.request.id,
-            reason,
-            done: job.done,
-            tasks: job.tasks.length,
-            ageMs: Math.round(this.options.clock.now() - job.receivedAt),
-        });
+        logClosedJob(this.options, job, reason);
     }
 
     /** Aborts jobs that cannot meet their deadline, and tries to place the waiting ones. */
@@ -366,10 +385,12 @@
         this.finish(job, newAbortAnswer(job));
     }
 
+    /** The state at the start of a pass over the jobs; the workers are looked at once, when a job depends on them. */
     private getView(): SchedulerView {
+        let areAllListed: boolean | undefined;
         return {
             now: this.options.clock.now(),
-            areAllListed: () => this.workers.areAllListed(),
+            areAllListed: () => areAllListed ??= this.workers.areAllListed(),
         };
     }
 }
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -43,6 +43,8 @@
     readonly remainingMs: Milliseconds;
     /** True when runs of its tasks may exist that this owner did not start. */
     readonly resubmitted: boolean;
+    /** True when it was submitted to another owner, too, which may have started it; absent in earlier releases. */
+    readonly hadOtherOwner?: boolean;
     /** True when a former owner forwarded tasks of it to another zone. */
     readonly mayRunElsewhere: boolean;
     /** True for tasks forwarded by the owner of another zone: started at once or refused, never forwarded again. */
@@ -70,8 +72,11 @@
 export interface RemoteScheduler {
     readonly zone: string;
     readonly free: FreeCapacity;
-    /** Forwards tasks; `freeAfter` is the capacity that then remains free. False while the scheduler is unreachable. */
-    readonly submit: (request: JobRequest, freeAfter: FreeCapacity) => boolean;
+    /**
+     * Forwards tasks; `freeAfter` is the capacity that then remains free. The answer names the number `submission`.
+     * False while the scheduler is unreachable.
+     */
+    readonly submit: (request: JobRequest, submission: number, freeAfter: FreeCapacity) => boolean;
     readonly cancel: (id: JobId) => void;
 }
 
@@ -161,7 +166,10 @@
     readonly close: () => void;
 }
 
-export type ConnectWorker = (worker: WorkerAnnouncement) => WorkerDriver;
+/** What a call to a worker needs to know of it. */
+export type WorkerTarget = Pick<WorkerAnnouncement, "id" | "address">;
+
+export type ConnectWorker = (worker: WorkerTarget) => WorkerDriver;
 
 export const addResources = (left: Resources, right: Resources): Resources => ({
     millicores: left.millicores + right.millicores,
--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -9,7 +9,10 @@
 class PendingJobsFixture {
     readonly time = new VirtualTime();
     readonly submitted: JobRequest[] = [];
+    readonly submissions: number[] = [];
     readonly cancelled: JobId[] = [];
+    readonly cancelledAt: string[] = [];
+    readonly withdrawnAt: string[] = [];
     readonly answers = new Map<string, JobAnswer>();
     ownerId: string | undefined = "owner-1";
     readonly pendingJobs = new PendingJobs({
@@ -24,11 +27,19 @@
         return this.pendingJobs.accept(newRequest(id), answer => this.answers.set(id, answer));
     }
 
+    /** Makes another entry the owner, or none. */
+    changeOwner(ownerId: string | undefined): void {
+        this.ownerId = ownerId;
+        this.pendingJobs.handleOwnerChange();
+    }
+
     private getOwner(): OwnerLink | undefined {
-        return this.ownerId === undefined ? undefined : {
-            id: this.ownerId,
-            submit: request => this.submitted.push(request) > 0,
-            cancel: id => this.cancelled.push(id),
+        const id = this.ownerId;
+        return id === undefined ? undefined : {
+            id,
+            submit: (request, submission) => this.submitted.push(request) === this.submissions.push(submission),
+            cancel: job => this.cancelled.push(job) === this.cancelledAt.push(id),
+            withdraw: () => this.withdrawnAt.push(id),
         };
     }
 }
@@ -48,6 +59,8 @@
     spilled: false,
 });
 
+const refusal: JobAnswer = { kind: "refused", reason: "no room in time", retryAfterMs: 1_000 };
+
 describe("pending jobs", () => {
     test("a job is resubmitted to the next owner, marked as resubmitted and with its remaining time", async () => {
         const fixture = new PendingJobsFixture();
@@ -59,9 +72,9 @@
             [false, 2_000],
             [true, 1_900],
         ]);
-        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "failed", reason: "old news" });
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "failed", reason: "old news" }, 1);
         expect(fixture.answers.size).toBe(0);
-        fixture.pendingJobs.handleAnswer("owner-2", toJobId("a"), { kind: "completed" });
+        fixture.pendingJobs.handleAnswer("owner-2", toJobId("a"), { kind: "completed" }, 2);
         expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
     });
 
@@ -69,9 +82,9 @@
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
         fixture.accept("b");
-        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true);
-        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("b"), true);
-        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("b"), false);
+        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, 1);
+        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("b"), true, 2);
+        fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("b"), false, 2);
         fixture.ownerId = "owner-2";
         fixture.pendingJobs.handleOwnerChange();
         expect(fixture.submitted.slice(2).map(request => request.mayRunElsewhere)).toEqual([true, false]);
@@ -80,10 +93,59 @@
     test("only the owner that has the job may forward tasks of it to another zone", () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
-        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true)).toBe(true);
+        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, 1)).toBe(true);
         fixture.ownerId = "owner-2";
         fixture.pendingJobs.handleOwnerChange();
-        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true)).toBe(false);
+        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, 1)).toBe(false);
+    });
+
+    test("a resubmission reports whether another owner had the job", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.pendingJobs.handleOwnerDisconnected("owner-1");
+        fixture.changeOwner("owner-2");
+        fixture.changeOwner("owner-1");
+        expect(fixture.submitted.map(request => [request.resubmitted, request.hadOtherOwner])).toEqual([
+            [false, false],
+            [true, false],
+            [true, true],
+            [true, true],
+        ]);
+    });
+
+    test("a refusal of an earlier submission is not taken for the answer to the present one", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.changeOwner("owner-2");
+        fixture.changeOwner("owner-1");
+        const [first, , third] = fixture.submissions;
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), refusal, first!);
+        expect(fixture.answers.size).toBe(0);
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "completed" }, third!);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
+    test("a refusal meant for a caller that left is not passed to the caller that submits the job next", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a")();
+        fixture.accept("a");
+        const [first, second] = fixture.submissions;
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), refusal, first!);
+        expect(fixture.answers.size).toBe(0);
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "completed" }, second!);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
+    test("a report on an earlier submission does not hide that tasks may run in another zone", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.changeOwner("owner-2");
+        fixture.changeOwner("owner-1");
+        const [first, , third] = fixture.submissions;
+        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), true, third!)).toBe(true);
+        expect(fixture.pendingJobs.markRemoteTasks("owner-1", toJobId("a"), false, first!)).toBe(false);
+        fixture.changeOwner("owner-2");
+        expect(fixture.submitted.at(-1)?.mayRunElsewhere).toBe(true);
     });
 
     test("a job is refused while there is no owner", async () => {
@@ -100,6 +162,35 @@
         expect(fixture.cancelled).toEqual(["a"]);
     });
 
+    test("a job is withdrawn from its owner when it is submitted to the next", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.changeOwner(undefined);
+        expect(fixture.withdrawnAt).toEqual([]);
+        fixture.changeOwner("owner-2");
+        fixture.changeOwner("owner-1");
+        expect(fixture.withdrawnAt).toEqual(["owner-1", "owner-2"]);
+    });
+
+    test("a job that ends is cancelled at the owners that had it before", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        const abandon = fixture.accept("b");
+        fixture.changeOwner("owner-2");
+        fixture.pendingJobs.handleAnswer("owner-2", toJobId("a"), { kind: "completed" }, fixture.submissions[2]);
+        expect([fixture.cancelled, fixture.cancelledAt]).toEqual([["a"], ["owner-1"]]);
+        abandon();
+        expect([fixture.cancelled, fixture.cancelledAt]).toEqual([["a", "b", "b"], ["owner-1", "owner-1", "owner-2"]]);
+    });
+
+    test("a job is cancelled at its owner also while that owner is not seen as one", () => {
+        const fixture = new PendingJobsFixture();
+        const abandon = fixture.accept("a");
+        fixture.changeOwner(undefined);
+        abandon();
+        expect(fixture.cancelledAt).toEqual(["owner-1"]);
+    });
+
     test("an entry that shuts down answers unknown where tasks may have run and refused otherwise", () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("handed-over");
--- a/packages/fleet/tests/ZoneMesh.test.ts
+++ b/packages/fleet/tests/ZoneMesh.test.ts
@@ -1,6 +1,7 @@
 /** Entries of a zone over loopback: reported states, disconnections and submitted jobs. */
 
-import { toJobId } from "@anvilmux/common";
+import { toAddress, toJobId } from "@anvilmux/common";
+import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
 import type { JobRequest } from "@anvilmux/dispatch";
 import { ZoneMesh } from "@anvilmux/fleet";
 import type { EntryMember, FromPeer } from "@anvilmux/fleet";
@@ -15,6 +16,7 @@
     readonly disconnectedSubmitters: string[] = [];
     readonly submitted: string[] = [];
     readonly cancelled: string[] = [];
+    readonly withdrawn: string[] = [];
     readonly remoteAcknowledged: string[] = [];
     readonly replies: FromPeer[] = [];
     submitterKey = "";
@@ -44,7 +46,10 @@
             },
             onRemoteAcknowledged: (_submitterKey, message) => this.remoteAcknowledged.push(message.id),
             onCancel: (_submitterKey, message) => this.cancelled.push(message.id),
+            onWithdraw: (_submitterKey, message) => this.withdrawn.push(message.id),
             onSubmitterDisconnected: submitterKey => this.disconnectedSubmitters.push(submitterKey),
+            onWorkerCall: (call, reply) =>
+                reply({ type: "worker-answer", number: call.number, answer: call.call.kind === "stop" }),
         });
         cleanups.push(() => checker.stop(), () => this.mesh.stop());
     }
@@ -100,19 +105,30 @@
 
     test("exchange jobs, replies and acknowledgements of remote tasks", async () => {
         const [first, second] = await startPair();
-        expect(first.mesh.send("b", { type: "submit", request: newRequest("job1") })).toBe(true);
+        expect(first.mesh.send("b", { type: "submit", request: newRequest("job1"), submission: 1 })).toBe(true);
         await waitUntil(() => second.submitted.length === 1);
-        second.reply({ type: "away", id: toJobId("job1") });
+        second.reply({ type: "away", id: toJobId("job1"), submission: 1 });
         await waitUntil(() => first.replies.length === 1);
         first.mesh.send("b", { type: "away-known", id: toJobId("job1") });
+        first.mesh.send("b", { type: "withdraw", id: toJobId("job1") });
         first.mesh.send("b", { type: "cancel", id: toJobId("job1") });
         await waitUntil(() => second.cancelled.length === 1);
+        expect(second.withdrawn).toEqual(["job1"]);
         expect([second.remoteAcknowledged, second.submitterKey]).toEqual([["job1"], expect.stringMatching(/^a#/)]);
     }, 30_000);
 
+    test("exchange calls to workers and their answers", async () => {
+        const [first] = await startPair();
+        const worker = { id: toWorkerId("w"), address: toAddress("127.0.0.1:1") };
+        const call = { kind: "stop", task: toTaskName("t"), run: 1, fencingToken: 1 } as const;
+        first.mesh.send("b", { type: "worker-call", number: 7, worker, call });
+        await waitUntil(() => first.replies.length === 1);
+        expect(first.replies).toEqual([{ type: "worker-answer", number: 7, answer: true }]);
+    }, 30_000);
+
     test("a stopped entry is detected at both ends of its connections", async () => {
         const [first, second] = await startPair();
-        first.mesh.send("b", { type: "submit", request: newRequest("job1") });
+        first.mesh.send("b", { type: "submit", request: newRequest("job1"), submission: 1 });
         await waitUntil(() => second.submitted.length === 1);
         first.mesh.stop();
         await waitUntil(() =>
