--- a/bench/src/DispatchLoad.ts
+++ b/bench/src/DispatchLoad.ts
@@ -36,8 +36,8 @@
 /** A job is wanted within this many times its estimate plus a fixed time. */
 const objectiveStretch = 1.6;
 const objectiveAddedMs = 60;
-/** Entries that submit jobs, each over a connection of its own. */
-const entryCount = 13;
+/** Entries that submit jobs, each over a connection of its own, and make calls to workers for the owner. */
+export const entryCount = 13;
 const submissionPeriodMs = 2;
 
 /** What became of one job. `unknown`: no answer arrived in time, or tasks of an abandoned job may have run. */
--- a/bench/src/dispatchDeployment.ts
+++ b/bench/src/dispatchDeployment.ts
@@ -8,13 +8,15 @@
 import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { resolve } from "node:path";
-import { DispatchLoad } from "./DispatchLoad";
+import { DispatchLoad, entryCount } from "./DispatchLoad";
 import type { JobRecord } from "./DispatchLoad";
 import type {
     FromOwner,
+    FromRelays,
     FromWorkers,
     OwnerArguments,
     OwnerCost,
+    RelaysArguments,
     ToProcess,
     WorkersArguments,
 } from "./dispatchMessages";
@@ -43,6 +45,8 @@
     readonly standInDelayP99Ms: Milliseconds;
 }
 
+/** Processes among which the other entries of the zone are spread. */
+const relayProcesses = 3;
 /** Time in which the owner connects to its workers and reads their lists. */
 const settleMs = 800;
 /** Time from the begin of the limit on processor time to that of the measurement. */
@@ -53,7 +57,15 @@
 export const playDispatch = async (run: DispatchRun): Promise<DispatchResult> => {
     const workers = start("dispatch-workers", { count: run.workers } satisfies WorkersArguments, []);
     const { addresses } = await receive<FromWorkers, "listening">(workers, "listening");
-    const owner = start("dispatch-owner", { workers: addresses } satisfies OwnerArguments, ownerOptions);
+    const relays = Array.from(
+        { length: relayProcesses },
+        () => start("dispatch-relays", { count: Math.ceil(entryCount / relayProcesses) } satisfies RelaysArguments, []),
+    );
+    const relayAddresses = await Promise.all(
+        relays.map(async child => (await receive<FromRelays, "listening">(child, "listening")).addresses),
+    );
+    const ownerArguments: OwnerArguments = { workers: addresses, relays: relayAddresses.flat() };
+    const owner = start("dispatch-owner", ownerArguments, ownerOptions);
     const { address } = await receive<FromOwner, "listening">(owner, "listening");
     const environment = { clock: newSystemClock(), timers: newSystemTimers(), logger: newSilentLogger() };
     const load = new DispatchLoad(address, run.seed, environment);
@@ -74,7 +86,7 @@
     const standInDelayP99Ms = Math.max(loopDelayP99Ms, loadDelay.getPercentileMs(99));
     const { disconnections } = load;
     load.stop();
-    await Promise.all([stop(owner), stop(workers)]);
+    await Promise.all([owner, ...relays, workers].map(stop));
     return { cost, jobs, counts, disconnections, standInDelayP99Ms };
 };
 
--- a/bench/src/dispatchMessages.ts
+++ b/bench/src/dispatchMessages.ts
@@ -10,6 +10,12 @@
 export interface OwnerArguments {
     /** Addresses of the zone's workers, by id. */
     readonly workers: readonly (readonly [id: string, address: Address])[];
+    /** Addresses of the other entries, which make calls to workers for the owner. */
+    readonly relays: readonly Address[];
+}
+
+export interface RelaysArguments {
+    readonly count: number;
 }
 
 export interface WorkersArguments {
@@ -42,3 +48,8 @@
 export type FromWorkers =
     | { readonly type: "listening"; readonly addresses: readonly (readonly [id: string, address: Address])[]; }
     | { readonly type: "counts"; readonly counts: StandInCounts; readonly loopDelayP99Ms: Milliseconds; };
+
+export interface FromRelays {
+    readonly type: "listening";
+    readonly addresses: readonly Address[];
+}
--- a/bench/src/dispatchOwnerProcess.ts
+++ b/bench/src/dispatchOwnerProcess.ts
@@ -4,11 +4,11 @@
  */
 
 import { newSystemClock, newSystemTimers, toInstanceId, toZoneId } from "@anvilmux/common";
-import type { Milliseconds, Timers } from "@anvilmux/common";
-import { capacityReportPeriodMs, chooseBestFit, TaskScheduler, toWorkerId } from "@anvilmux/dispatch";
+import type { Address, Milliseconds, Timers } from "@anvilmux/common";
+import { capacityReportPeriodMs, chooseBestFit, RelayedWorkers, TaskScheduler, toWorkerId } from "@anvilmux/dispatch";
 import type { ChooseWorker, JobAnswer, JobSubmitter, WorkerAnnouncement } from "@anvilmux/dispatch";
 import type { FromPeer, ToPeer } from "@anvilmux/fleet";
-import { ChannelChecker, LinkServer } from "@anvilmux/links";
+import { ChannelChecker, Link, LinkServer } from "@anvilmux/links";
 import type { LinkEnvironment, Session } from "@anvilmux/links";
 import { connectHttpWorker } from "@anvilmux/platform";
 import { Metrics, newLogger, newStandardOutputWriter, setLogDestination } from "@anvilmux/telemetry";
@@ -22,7 +22,7 @@
 
 /** Runs until the process that started this one disconnects or ends. */
 export const runOwner = async (text: string): Promise<void> => {
-    const { workers } = JSON.parse(text) as OwnerArguments;
+    const { workers, relays } = JSON.parse(text) as OwnerArguments;
     const clock = newSystemClock();
     const timers = newSystemTimers();
     const writer = newStandardOutputWriter(timers);
@@ -30,8 +30,10 @@
     const logger = newLogger("info", { instance: toInstanceId("owner"), zone });
     const metrics = new Metrics();
     const choiceTimer = newChoiceTimer();
+    const environment = { clock, timers, logger };
+    const relayedWorkers = await connectRelays(relays, environment, metrics);
     const scheduler = new TaskScheduler({
-        connect: connectHttpWorker,
+        connect: relayedWorkers.connect,
         choose: choiceTimer.choose,
         getRemoteSchedulers: () => [],
         getFencingToken: () => fencingToken,
@@ -43,11 +45,45 @@
     });
     workers.forEach(([id, address]) => scheduler.setWorker(newAnnouncement(id, address)));
     timers.every(capacityReportPeriodMs, () => JSON.stringify(scheduler.getFreeCapacity()));
-    const server = await listen(scheduler, { clock, timers, logger });
+    const server = await listen(scheduler, environment);
     handleMessages(newCostMeter(metrics, choiceTimer), timers);
     send({ type: "listening", address: server.address });
 };
 
+/** Resolves when the connections to all relays are open. */
+const connectRelays = async (
+    addresses: readonly Address[],
+    environment: LinkEnvironment,
+    metrics: Metrics,
+): Promise<RelayedWorkers> => {
+    const links = new Map<string, Link<FromPeer, ToPeer>>();
+    const relayedWorkers: RelayedWorkers = new RelayedWorkers({
+        ...environment,
+        connect: connectHttpWorker,
+        getRelays: () => [...links.keys()],
+        send: (relay, call) => links.get(relay)?.send({ type: "worker-call", ...call }) ?? false,
+        metrics,
+    });
+    const checker = new ChannelChecker(environment.clock, environment.timers, () => undefined);
+    await Promise.all(addresses.map(address =>
+        new Promise<void>(resolve => {
+            const link: Link<FromPeer, ToPeer> = new Link(environment, {
+                address,
+                checker,
+                onOpen: () => resolve(),
+                onMessage: message => {
+                    if (message.type === "worker-answer") {
+                        relayedWorkers.handleAnswer(message.number, message.answer);
+                    }
+                },
+                onClose: () => relayedWorkers.handleDisconnected(address),
+            });
+            links.set(address, link);
+        })
+    ));
+    return relayedWorkers;
+};
+
 interface ChoiceTimer {
     readonly choose: ChooseWorker;
     readonly getTotalMs: () => Milliseconds;
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -14,6 +14,9 @@
         case "dispatch-owner":
             await (await import("./dispatchOwnerProcess")).runOwner(programArguments);
             return;
+        case "dispatch-relays":
+            await (await import("./dispatchRelaysProcess")).runRelays(programArguments);
+            return;
         case "dispatch-workers":
             await (await import("./dispatchWorkersProcess")).runWorkers(programArguments);
             return;
