Relays: a worker that does not answer through one relay gets another

Seen in a test: a relay that reaches its owner and not some workers kept those for as long as it was connected, so they were lost to the zone. Cause: only a relay that was silent itself was replaced. Change: when a relay reports that a worker did not answer, the worker's next call goes through another one.

--- a/packages/dispatch/src/RelayedWorkers.ts
+++ b/packages/dispatch/src/RelayedWorkers.ts
@@ -9,7 +9,7 @@
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import { maximumDirectWorkers, orderTimeoutMs, relaySuspicionMs, relayTimeoutMs } from "./constants";
 import { RelayAssignment } from "./RelayAssignment";
-import type { ConnectWorker, StartAnswer, WatchAnswer, WorkerDriver, WorkerTarget } from "./types";
+import type { ConnectWorker, StartAnswer, WatchAnswer, WorkerDriver, WorkerId, WorkerTarget } from "./types";
 import { getCallTimeout, makeWorkerCall } from "./workerCalls";
 import type { NumberedWorkerCall, WorkerCall, WorkerCallAnswer } from "./workerCalls";
 
@@ -28,6 +28,7 @@
 
 interface PendingCall {
     readonly relay: string;
+    readonly worker: WorkerId;
     /** Called with undefined when the relay did not answer. */
     readonly resolve: (answer: WorkerCallAnswer | undefined) => void;
 }
@@ -65,6 +66,10 @@
 
     /** Passes on a relay's answer; ignored when the call was given up. */
     handleAnswer(number: number, answer: WorkerCallAnswer): void {
+        const call = this.pending.get(number);
+        if (call && typeof answer === "object" && answer.kind === "unanswered") {
+            this.assignment.reject(call.worker);
+        }
         this.settle(number, answer);
     }
 
@@ -111,7 +116,7 @@
                 // An answer that arrived while this process was late is read before the call is given up.
                 () => setImmediate(() => this.handleTimeout(number, relay)),
             );
-            this.pending.set(number, { relay, resolve: withCleanup(cancelTimeout, resolve) });
+            this.pending.set(number, { relay, worker: worker.id, resolve: withCleanup(cancelTimeout, resolve) });
         });
     }
 
--- a/packages/dispatch/tests/RelayAssignment.test.ts
+++ b/packages/dispatch/tests/RelayAssignment.test.ts
@@ -30,6 +30,17 @@
         expect(Math.max(...countByRelay(assignment, ["a", "b", "c", "d"]))).toBeLessThanOrEqual(27);
     });
 
+    test("a worker that does not answer through one gets another, also while the other has more workers", () => {
+        const assignment = new RelayAssignment();
+        const first = assignment.choose(workers[0]!, ["a", "b"]);
+        assignment.choose(workers[1]!, ["a", "b"]);
+        assignment.reject(workers[0]!);
+        const second = assignment.choose(workers[0]!, ["a", "b"]);
+        expect([first, second, assignment.choose(workers[0]!, ["a", "b"])]).toEqual(["a", "b", "b"]);
+        assignment.reject(workers[0]!);
+        expect(assignment.choose(workers[0]!, ["b"])).toBe("b");
+    });
+
     test("there is none without a connected relay", () => {
         expect(new RelayAssignment().choose(workers[0]!, [])).toBeUndefined();
     });
