Relays: only entries that say so make calls for an owner

An entry of the earlier release ignores such calls, so that during an update an owner of many workers would have lost each call to it. Entries announce that they are relays with their state.

--- a/packages/anvilmux/src/roles/WorkerOwnership.ts
+++ b/packages/anvilmux/src/roles/WorkerOwnership.ts
@@ -35,7 +35,10 @@
         const { connectWorker, environment, logger, metrics, mesh } = options;
         this.relayedWorkers = new RelayedWorkers({
             connect: connectWorker,
-            getRelays: () => mesh.getCandidates().filter(({ fitness }) => fitness === "ready").map(({ id }) => id),
+            getRelays: () =>
+                mesh.getCandidates().filter(({ fitness, isRelay }) => isRelay && fitness === "ready").map(({ id }) =>
+                    id
+                ),
             send: (peerId, call) => mesh.send(peerId, { type: "worker-call", ...call }),
             clock: environment.clock,
             timers: environment.timers,
--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -13,6 +13,8 @@
     readonly id: string;
     readonly claim: number;
     readonly fitness: Fitness;
+    /** True when it makes calls to workers for the owner; entries of an earlier release don't. */
+    readonly isRelay?: boolean;
 }
 
 /** How fit an entry is to own workers: not at all, only while no ready entry is connected, or ready. */
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -121,7 +121,7 @@
 
     private getStateMessage(): ToPeer {
         const { id, incarnation } = this.options.self;
-        return { type: "state", id, incarnation, ...this.options.getState() };
+        return { type: "state", id, incarnation, ...this.options.getState(), isRelay: true };
     }
 
     private connect(member: EntryMember): Link<FromPeer, ToPeer> {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -53,6 +53,7 @@
         readonly incarnation: number;
         readonly claim: number;
         readonly fitness: Fitness;
+        readonly isRelay?: boolean;
     }
     /** The zone's workers known to the sender, for an entry that has just started. */
     | { readonly type: "workers"; readonly workers: readonly WorkerAnnouncement[]; }
