Relays: what a relay or a late owner loses is not held against workers

Cause: an owner took a relay's silence for the worker's. Change: an unanswered start through a lost relay does not pause its worker; a watch is asked again through another relay; an owner that did not run for a while gives calls 40 ms more, since they may not have been written; its time limit is longer than the relay's own; with fewer than four relays the owner makes a share of the calls, with none all. Failing before: two tests of lateRelays.test.ts and two of RelayedWorkers.test.ts (the test of a lost relay's watches now expects their repetition, its former expectation stands for starts).

--- a/packages/dispatch/src/RelayedWorkers.ts
+++ b/packages/dispatch/src/RelayedWorkers.ts
@@ -7,7 +7,15 @@
 
 import type { Clock, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
-import { maximumDirectWorkers, orderTimeoutMs, relaySuspicionMs, relayTimeoutMs } from "./constants";
+import {
+    maximumDirectWorkers,
+    orderTimeoutMs,
+    ownerStallGraceMs,
+    ownerStallMs,
+    relaySuspicionMs,
+    relayTimeoutMs,
+    sufficientRelays,
+} from "./constants";
 import { RelayAssignment } from "./RelayAssignment";
 import type { ConnectWorker, StartAnswer, WatchAnswer, WorkerDriver, WorkerId, WorkerTarget } from "./types";
 import { getCallTimeout, makeWorkerCall } from "./workerCalls";
@@ -31,6 +39,7 @@
     readonly worker: WorkerId;
     /** Called with undefined when the relay did not answer. */
     readonly resolve: (answer: WorkerCallAnswer | undefined) => void;
+    cancelTimeout: Unsubscribe;
 }
 
 export class RelayedWorkers {
@@ -54,7 +63,11 @@
         return {
             start: async order => await call({ kind: "start", order }) as StartAnswer | undefined ?? withoutAnswer,
             stop: async (task, run, fencingToken) => await call({ kind: "stop", task, run, fencingToken }) === true,
-            watch: async order => await call({ kind: "watch", order }) as WatchAnswer | undefined ?? withoutAnswer,
+            watch: async order =>
+                await call({ kind: "watch", order }) as WatchAnswer | undefined
+                    // A lost relay says nothing of the worker: another one is asked for a list at once.
+                    ?? await call({ kind: "watch", order: { ...order, waitMs: 0 } }) as WatchAnswer | undefined
+                    ?? withoutAnswer,
             close: () => {
                 this.openDrivers -= isOpen ? 1 : 0;
                 isOpen = false;
@@ -94,29 +107,40 @@
         const relay = this.openDrivers > maximumDirectWorkers
             ? this.assignment.choose(worker.id, this.getTrustedRelays())
             : undefined;
-        return (relay === undefined ? undefined : this.callThrough(relay, worker, call))
-            ?? makeWorkerCall(getDirect(), call);
+        const isDirect = relay === undefined || relay === ownCalls;
+        return (isDirect ? undefined : this.callThrough(relay, worker, call)) ?? makeWorkerCall(getDirect(), call);
     }
 
     /** Undefined when the relay is not connected; the call was then not made. */
     private callThrough(
         relay: string,
         worker: WorkerTarget,
-        call: WorkerCall,
+        made: WorkerCall,
     ): Promise<WorkerCallAnswer | undefined> | undefined {
         const number = this.nextNumber++;
         const target = { id: worker.id, address: worker.address };
-        if (!this.options.send(relay, { number, worker: target, call })) {
+        if (!this.options.send(relay, { number, worker: target, call: made })) {
             return undefined;
         }
-        this.options.metrics.count("anvilmux_relayed_calls_total", { call: call.kind });
+        this.options.metrics.count("anvilmux_relayed_calls_total", { call: made.kind });
         return new Promise(resolve => {
-            const cancelTimeout = this.options.timers.after(
-                getCallTimeout(call, orderTimeoutMs) + relayTimeoutMs,
-                // An answer that arrived while this process was late is read before the call is given up.
-                () => setImmediate(() => this.handleTimeout(number, relay)),
-            );
-            this.pending.set(number, { relay, worker: worker.id, resolve: withCleanup(cancelTimeout, resolve) });
+            const call: PendingCall = { relay, worker: worker.id, resolve, cancelTimeout: () => undefined };
+            this.pending.set(number, call);
+            this.expectAnswer(number, call, getCallTimeout(made, orderTimeoutMs) + relayTimeoutMs, true);
+        });
+    }
+
+    /** Gives the call up after `timeoutMs`; later when this process did not run, as the call may not have been sent. */
+    private expectAnswer(number: number, call: PendingCall, timeoutMs: Milliseconds, hasGrace: boolean): void {
+        const { clock, timers } = this.options;
+        const dueAt = clock.now() + timeoutMs;
+        call.cancelTimeout = timers.after(timeoutMs, () => {
+            if (hasGrace && clock.now() - dueAt > ownerStallMs) {
+                this.expectAnswer(number, call, ownerStallGraceMs, false);
+                return;
+            }
+            // An answer that arrived while this process was late is read before the call is given up.
+            setImmediate(() => this.handleTimeout(number, call.relay));
         });
     }
 
@@ -132,6 +156,7 @@
     private settle(number: number, answer: WorkerCallAnswer | undefined): void {
         const call = this.pending.get(number);
         this.pending.delete(number);
+        call?.cancelTimeout();
         call?.resolve(answer);
     }
 
@@ -141,25 +166,19 @@
         this.options.timers.after(relaySuspicionMs, () => this.trusted = undefined);
     }
 
-    /** Relays that answered lately; all connected ones when none did. */
+    /** Relays that answered lately, and the owner itself when they are few. */
     private getTrustedRelays(): readonly string[] {
         if (!this.trusted) {
             const now = this.options.clock.now();
             const relays = this.options.getRelays();
             const trusted = relays.filter(relay => now >= (this.suspectedUntil.get(relay) ?? 0));
-            this.trusted = trusted.length > 0 ? trusted : relays;
+            this.trusted = trusted.length < sufficientRelays ? [...trusted, ownCalls] : trusted;
         }
         return this.trusted;
     }
 }
 
-const withoutAnswer = { kind: "unanswered", reason: "the relay gave no answer" } as const;
+const withoutAnswer = { kind: "unanswered", reason: "the relay gave no answer", isRelayLost: true } as const;
 
-const withCleanup = (
-    cleanUp: Unsubscribe,
-    resolve: (answer: WorkerCallAnswer | undefined) => void,
-) =>
-(answer: WorkerCallAnswer | undefined): void => {
-    cleanUp();
-    resolve(answer);
-};
+/** Stands for the owner itself among its relays. */
+const ownCalls = "";
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -171,16 +171,18 @@
                 this.handleRemoved();
                 return;
             case "unanswered":
-                this.handleUnansweredStart(run, answer.reason);
+                this.handleUnansweredStart(run, answer.reason, answer.isRelayLost ?? false);
         }
     }
 
     /** The start may still be carried out until its deadline; a poll after that shows whether it was. */
-    private handleUnansweredStart(run: Run, reason: string): void {
+    private handleUnansweredStart(run: Run, reason: string, isRelayLost: boolean): void {
         if (run.state === "ordered") {
             run.state = "uncertain";
         }
-        this.paused.recordUnanswered();
+        if (!isRelayLost) {
+            this.paused.recordUnanswered();
+        }
         this.options.logger.warn("start without an answer", { worker: this.id, task: run.task, run: run.run, reason });
         const pollDelayMs = run.startDeadline - this.workerTime.now() + pollAfterValidityMs;
         this.options.timers.after(Math.max(0, pollDelayMs), () => void this.pollUncertainRuns());
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -29,6 +29,11 @@
 export const maximumDirectWorkers = 24;
 /** Time beyond a call's own timeout within which a relay must answer. */
 export const relayTimeoutMs = 60;
+/** A timeout that fires later than this shows that the owner did not run; its call gets `ownerStallGraceMs` once more. */
+export const ownerStallMs = 20;
+export const ownerStallGraceMs = 40;
+/** Number of relays below which the owner also makes calls itself. */
+export const sufficientRelays = 4;
 /** Time for which a relay that left a call unanswered gets no further ones. */
 export const relaySuspicionMs = 1_000;
 /** Time after which a relay closes connections to a worker that it was not asked to call. */
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -138,7 +138,8 @@
     | { readonly kind: "refused"; readonly reason: StartRefusal; readonly clock: Milliseconds | undefined; }
     /** Another worker answered at this address. */
     | { readonly kind: "gone"; }
-    | { readonly kind: "unanswered"; readonly reason: string; };
+    /** `isRelayLost`: the call may not have been made, so this tells nothing of the worker. */
+    | { readonly kind: "unanswered"; readonly reason: string; readonly isRelayLost?: boolean; };
 
 export interface WatchOrder {
     readonly fencingToken: number;
--- a/packages/dispatch/src/workerCalls.ts
+++ b/packages/dispatch/src/workerCalls.ts
@@ -29,6 +29,9 @@
     }
 };
 
-/** Time within which the driver answers a call, given the timeout of its orders. */
+/** Share of a call's timeout by which a driver may exceed it, after this process did not run for a while. */
+export const stallGraceShare = 0.375;
+
+/** Time within which a driver answers a call, given the timeout of its orders. */
 export const getCallTimeout = (call: WorkerCall, orderTimeoutMs: Milliseconds): Milliseconds =>
-    call.kind === "watch" ? call.order.timeoutMs : orderTimeoutMs;
+    (call.kind === "watch" ? call.order.timeoutMs : orderTimeoutMs) * (1 + stallGraceShare);
