--- a/packages/dispatch/tests/RelayedWorkers.test.ts
+++ b/packages/dispatch/tests/RelayedWorkers.test.ts
@@ -115,13 +115,18 @@
 
     test("avoid a relay that is connected and does not answer", async () => {
         const relays = new RelayFixture(30);
+        const callsToSilent: (number | undefined)[] = [];
         await relays.playJobs(150, number => {
             if (number === 50) {
                 relays.silent.add("b");
             }
+            if (number === 90 || number === 130) {
+                callsToSilent.push(relays.callsByRelay.get("b"));
+            }
         });
         expect(relays.completedJobs).toBe(150);
         expect(relays.fixture.doubleRuns).toEqual([]);
+        expect(callsToSilent[1]).toBe(callsToSilent[0]);
     });
 
     test("end without an answer when their relay is disconnected, which tells nothing of the worker", async () => {
