Dispatch: one place for the grace of a stalled caller; one slow-stopping worker in the tests

The owner's time limit for a relayed call had the sum (0.375) of two shares that the worker driver kept for itself (0.125 and 0.25); changed alone, either would have made the limits not nest again. Both use the same two constants now. The two tests of runs that are being stopped share their driver, and the choice of relays reads as a condition. No behaviour is changed; assertions and figures stay.

--- a/packages/anvilmux/src/roles/WorkerOwnership.ts
+++ b/packages/anvilmux/src/roles/WorkerOwnership.ts
@@ -4,7 +4,7 @@
  */
 
 import { chooseBestFit, RelayedWorkers, TaskScheduler } from "@anvilmux/dispatch";
-import type { ConnectWorker, FreeCapacity, WorkerAnnouncement } from "@anvilmux/dispatch";
+import type { Candidate, ConnectWorker, FreeCapacity, WorkerAnnouncement } from "@anvilmux/dispatch";
 import { OwnerLinks } from "@anvilmux/fleet";
 import type { EntryMember, ZoneMesh, ZoneOwner } from "@anvilmux/fleet";
 import type { ChannelChecker } from "@anvilmux/links";
@@ -35,10 +35,7 @@
         const { connectWorker, environment, logger, metrics, mesh } = options;
         this.relayedWorkers = new RelayedWorkers({
             connect: connectWorker,
-            getRelays: () =>
-                mesh.getCandidates().filter(({ fitness, isRelay }) => isRelay && fitness === "ready").map(({ id }) =>
-                    id
-                ),
+            getRelays: () => mesh.getCandidates().filter(canRelay).map(({ id }) => id),
             send: (peerId, call) => mesh.send(peerId, { type: "worker-call", ...call }),
             clock: environment.clock,
             timers: environment.timers,
@@ -113,3 +110,5 @@
         });
     }
 }
+
+const canRelay = ({ fitness, isRelay }: Candidate): boolean => isRelay === true && fitness === "ready";
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -16,6 +16,10 @@
 export const watchGraceMs = 100;
 /** Timeout of a start or stop order. */
 export const orderTimeoutMs = 80;
+/** A call's timer that fires later than this share of its timeout shows that the calling process did not run. */
+export const stallToleranceShare = 0.125;
+/** Share of its timeout that such a call is given once more, as it may not have been sent before. */
+export const stallGraceShare = 0.25;
 /** A worker refuses a start order that reaches it later than this. */
 export const startValidityMs = 100;
 /** Consecutive unanswered starts after which a worker gets no tasks for `unansweredPauseMs`. */
--- a/packages/dispatch/src/workerCalls.ts
+++ b/packages/dispatch/src/workerCalls.ts
@@ -1,6 +1,7 @@
 /** A call to a worker as a message, so that another entry of the zone can make it for the owner of the workers. */
 
 import type { Milliseconds } from "@anvilmux/common";
+import { stallGraceShare, stallToleranceShare } from "./constants";
 import type { StartAnswer, StartOrder, TaskName, WatchAnswer, WatchOrder, WorkerDriver, WorkerTarget } from "./types";
 
 export type WorkerCall =
@@ -29,9 +30,6 @@
     }
 };
 
-/** Share of a call's timeout by which a driver may exceed it, after this process did not run for a while. */
-export const stallGraceShare = 0.375;
-
-/** Time within which a driver answers a call, given the timeout of its orders. */
+/** Time within which a driver answers a call, given the timeout of its orders, also after it did not run for a while. */
 export const getCallTimeout = (call: WorkerCall, orderTimeoutMs: Milliseconds): Milliseconds =>
-    (call.kind === "watch" ? call.order.timeoutMs : orderTimeoutMs) * (1 + stallGraceShare);
+    (call.kind === "watch" ? call.order.timeoutMs : orderTimeoutMs) * (1 + stallToleranceShare + stallGraceShare);
--- a/packages/dispatch/tests/forwardedRuns.test.ts
+++ b/packages/dispatch/tests/forwardedRuns.test.ts
@@ -6,6 +6,16 @@
 import { TaskSpiller } from "../src/TaskSpiller";
 import { SchedulerFixture } from "./schedulerFixture";
 
+/** Workers receive a stop after 40 ms; the platform allows it 50 ms more. */
+const newSlowlyStopping = (fixture: SchedulerFixture): ConnectWorker => target => {
+    const driver = fixture.connect(target);
+    return {
+        ...driver,
+        stop: (task, run, token) =>
+            new Promise(resolve => fixture.time.after(40, () => void driver.stop(task, run, token).then(resolve))),
+    };
+};
+
 describe("forwarded tasks", () => {
     test("a late refusal of an earlier token does not end the ban on forwarding under the present one", () => {
         const fixture = new SchedulerFixture(1);
@@ -41,17 +51,7 @@
     test("forwarded tasks that came again are not refused while an earlier run of them is being stopped", async () => {
         const fixture = new SchedulerFixture(1);
         const { time } = fixture;
-        const connect: ConnectWorker = target => {
-            const driver = fixture.connect(target);
-            return {
-                start: order => driver.start(order),
-                watch: order => driver.watch(order),
-                close: () => driver.close(),
-                stop: (task, run, token) =>
-                    new Promise(resolve => time.after(40, () => void driver.stop(task, run, token).then(resolve))),
-            };
-        };
-        const scheduler = fixture.newScheduler(1, () => 1, connect);
+        const scheduler = fixture.newScheduler(1, () => 1, newSlowlyStopping(fixture));
         await time.advance(20);
         const job = fixture.newJob("a", { spilled: true, runMs: 800, objectiveMs: 3_000 });
         fixture.submit(scheduler, job, "owner");
@@ -79,18 +79,7 @@
                 logger: newSilentLogger(),
                 metrics: new Metrics(),
             });
-        // The other zone's worker receives a stop after 40 ms; the platform allows it 50 ms more.
-        const slowStops: ConnectWorker = target => {
-            const driver = fixture.connect(target);
-            return {
-                start: order => driver.start(order),
-                watch: order => driver.watch(order),
-                close: () => driver.close(),
-                stop: (task, run, token) =>
-                    new Promise(resolve => time.after(40, () => void driver.stop(task, run, token).then(resolve))),
-            };
-        };
-        const remote = newOwner(slowStops, () => []);
+        const remote = newOwner(newSlowlyStopping(fixture), () => []);
         remote.setWorker(there!.announcement);
         let isRemoteOpen = true;
         const remoteScheduler: RemoteScheduler = {
