Control: a group without a majority tells so in logs and metrics

A replica whose elections found no majority wrote nothing, so that this could not be told from a slow start.

--- a/packages/anvilmux/src/services/control.ts
+++ b/packages/anvilmux/src/services/control.ts
@@ -8,7 +8,9 @@
     ControlClient,
     ControlService,
     ControlState,
+    describeVoters,
     earlyCampaigns,
+    getVoters,
     maximumEntriesPerAppend,
     Replica,
     ReplicaStorage,
@@ -127,10 +129,27 @@
     });
     kernel.get(membershipToken).publish(replicaRecordKey, { memberId: replica.memberId, address: selfAddress }, false);
     control.start();
-    kernel.get(metricsToken).gauge("anvilmux_control_leading", {}, () => replica.role === "leader" ? 1 : 0);
+    reportReplica(kernel, replica);
     return control;
 };
 
+/** Publishes the replica's metrics and logs the state in which it starts. */
+const reportReplica = (kernel: Kernel, replica: Replica): void => {
+    const metrics = kernel.get(metricsToken);
+    metrics.gauge("anvilmux_control_leading", {}, () => replica.role === "leader" ? 1 : 0);
+    metrics.gauge("anvilmux_control_voters", {}, () => getVoters(replica.group).length);
+    metrics.gauge(
+        "anvilmux_control_reachable_voters",
+        {},
+        () => replica.getProgress().filter(progress => progress.voter && progress.reachable).length,
+    );
+    kernel.get(loggerToken).info("control replica opened", {
+        memberId: replica.memberId,
+        term: Number(replica.currentTerm),
+        voters: describeVoters(replica.group),
+    });
+};
+
 /** The instances that form the initial control group; none when this instance may only join an existing group. */
 const getInitialAddresses = (settings: Settings, selfAddress: Address): readonly Address[] => {
     if (!settings["form-group"]) {
--- a/packages/control/src/Replica.ts
+++ b/packages/control/src/Replica.ts
@@ -16,18 +16,13 @@
     VoteReply,
     VoteRequest,
 } from "@anvilmux/protocol";
-import {
-    AppendReplySchema,
-    ControlSnapshotSchema,
-    SnapshotReplySchema,
-    VoteReplySchema,
-    VoteRequestSchema,
-} from "@anvilmux/protocol";
+import { AppendReplySchema, ControlSnapshotSchema, SnapshotReplySchema, VoteReplySchema } from "@anvilmux/protocol";
 import { create, fromBinary } from "@bufbuild/protobuf";
+import { collectVotes, describeVoters } from "./collectVotes";
 import { earlyCampaignDelayMs, electionTimeoutMs } from "./constants";
 import type { ControlState } from "./ControlState";
 import { ControlError } from "./errors";
-import { getQuorumSize, getVoters, isVoter } from "./group";
+import { isVoter } from "./group";
 import { Leadership } from "./Leadership";
 import { ReplicaLog } from "./ReplicaLog";
 import type { ReplicaStorage } from "./ReplicaStorage";
@@ -244,44 +239,19 @@
         return true;
     }
 
-    /** True when a majority, this replica included, grants its vote. */
-    private async collectVotes(term: bigint, preVote: boolean): Promise<boolean> {
-        const { group } = this;
-        const others = getVoters(group).filter(member => member.memberId !== this.memberId);
-        const needed = getQuorumSize(group) - 1;
-        if (needed <= 0) {
-            return true;
-        }
-        return new Promise(resolve => {
-            let granted = 0;
-            let answered = 0;
-            const handleReply = (reply: VoteReply | undefined) => {
-                answered += 1;
-                granted += reply?.granted ? 1 : 0;
-                if (reply && reply.term > term) {
-                    void this.mutex.run(() => this.enterTerm(reply.term));
-                }
-                if (granted >= needed || answered === others.length) {
-                    resolve(granted >= needed);
-                }
-            };
-            for (const member of others) {
-                const request = create(VoteRequestSchema, {
-                    candidate: this.memberId,
-                    to: member.memberId,
-                    term,
-                    lastIndex: this.storage.log.lastIndex,
-                    lastTerm: this.storage.log.lastTerm,
-                    preVote,
-                });
-                this.environment.connect(member).requestVote(request).then(handleReply, () => handleReply(undefined));
-            }
-        });
+    private collectVotes(term: bigint, preVote: boolean): Promise<boolean> {
+        const { lastIndex, lastTerm } = this.storage.log;
+        return collectVotes(
+            { memberId: this.memberId, group: this.group, term, preVote, lastIndex, lastTerm },
+            this.environment,
+            laterTerm => void this.mutex.run(() => this.enterTerm(laterTerm)),
+        );
     }
 
     private becomeLeader(): void {
         this.leaderId = this.memberId;
-        this.environment.logger.info("control leadership won", { term: Number(this.term) });
+        const { term, group, environment } = this;
+        environment.logger.info("control leadership won", { term: Number(term), voters: describeVoters(group) });
         this.leadership = new Leadership(this.term, {
             storage: this.storage,
             replicaLog: this.log,
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,4 +1,5 @@
 /** Durable control state: storage, consensus, manifests and claims. */
+export * from "./collectVotes";
 export * from "./ConfigurationHolder";
 export * from "./constants";
 export * from "./ControlClient";
