Control: an instance that is back is a voter again at once, not 15 s after its removal

Cause: the leader removes voters that are silent for 3.5 s and took none back until 15 s after the removal, because announcements outlive their instance. A zone with two of six control instances that is cut off for 6.3 s leaves a group of four long after its return; the loss of two disks, which the deployment has to bear, then leaves no majority. Evidence: simulation with the production replicas and repair (groupTolerance.test.ts): six replicas, two cut off for 6.3 s, 6 s to catch up, two others without their disks at a power loss of all: 'no leader after all faults were healed' for each of four pairs; the group still had four voters 6 s after the cut. Change: the repair asks an announced replica to identify itself before it is admitted; one that answers joins at once, one that does not never joins. The record of removals is not needed any more, its test goes with it; the test that a silent voter is not readmitted stays, and one on virtual time checks that the group does not change for 30 s while a removed instance is only announced (fails without the question). Ruled out: a shorter delay, which would still take dead instances back in turn.

--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -31,6 +31,7 @@
 import { create } from "@bufbuild/protobuf";
 import { proposalTimeoutMs } from "./constants";
 import { ControlError } from "./errors";
+import { findAnsweringReplicas } from "./findAnsweringReplicas";
 import { isCaughtUp } from "./group";
 import { getNextRepair } from "./groupRepair";
 import type { AnnouncedReplica } from "./groupRepair";
@@ -226,8 +227,8 @@
                 this.history.resetContacts();
                 continue;
             }
-            const change = this.getRepair();
-            if (change) {
+            const change = await this.getRepair();
+            if (change && replica.role === "leader") {
                 this.history.recordChange(change);
                 const result = await replica.changeGroup(change).catch(error => getErrorMessage(error));
                 logger.info("control group repair attempted", {
@@ -240,19 +241,23 @@
         }
     }
 
-    private getRepair(): MembershipChange | undefined {
-        const { replica } = this.options;
+    private async getRepair(): Promise<MembershipChange | undefined> {
+        const { replica, connect } = this.options;
         const reachable = replica.getProgress().filter(progress => progress.reachable);
         reachable.forEach(progress => this.history.recordContact(progress.memberId));
         const caughtUp = reachable
             .filter(progress => isCaughtUp(progress.matchIndex, replica.commitIndex))
             .map(progress => progress.memberId);
+        const answering = await findAnsweringReplicas(
+            this.options.getAnnouncedReplicas(),
+            memberId => reachable.some(progress => progress.memberId === memberId),
+            connect,
+        );
         return getNextRepair({
             members: replica.group.members,
-            announced: this.options.getAnnouncedReplicas(),
+            answering,
             getTimeSinceContact: memberId => this.history.getTimeSinceContact(memberId),
             isCaughtUp: memberId => caughtUp.includes(memberId),
-            getTimeSinceRemoval: memberId => this.history.getTimeSinceRemoval(memberId),
         });
     }
 }
--- a/packages/control/src/MemberHistory.ts
+++ b/packages/control/src/MemberHistory.ts
@@ -1,11 +1,10 @@
-/** A leader's record of its group's members: times of the last contact and of the removal. */
+/** A leader's record of the time of the last contact with each member of its group. */
 
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import type { MembershipChange } from "@anvilmux/protocol";
 
 export class MemberHistory {
     private readonly lastContactAt = new Map<string, Milliseconds>();
-    private readonly removedAt = new Map<string, Milliseconds>();
     private leadingSince: Milliseconds;
 
     constructor(private readonly clock: Clock) {
@@ -28,18 +27,10 @@
             // Counts the time without contact from now instead of from the start of the leadership.
             this.recordContact(change.addLearner.memberId);
         }
-        if (change.remove !== "") {
-            this.removedAt.set(change.remove, this.clock.now());
-        }
     }
 
     /** Time since the last contact with a member, or since the start of the leadership without one. */
     getTimeSinceContact(memberId: string): Milliseconds {
         return this.clock.now() - (this.lastContactAt.get(memberId) ?? this.leadingSince);
     }
-
-    /** Time since this instance removed a member; infinite if it did not. */
-    getTimeSinceRemoval(memberId: string): Milliseconds {
-        return this.clock.now() - (this.removedAt.get(memberId) ?? -Infinity);
-    }
 }
--- a/packages/control/src/groupRepair.ts
+++ b/packages/control/src/groupRepair.ts
@@ -17,13 +17,12 @@
 
 export interface RepairInput {
     readonly members: readonly GroupMember[];
-    readonly announced: readonly AnnouncedReplica[];
+    /** Announced replicas that answer at their address. */
+    readonly answering: readonly AnnouncedReplica[];
     /** Time since the leader's last contact with a member; 0 while it is reachable. */
     readonly getTimeSinceContact: (memberId: string) => Milliseconds;
     /** True for a reachable member that lacks only a few committed entries. */
     readonly isCaughtUp: (memberId: string) => boolean;
-    /** Time since the leader removed a member; infinite if it did not. */
-    readonly getTimeSinceRemoval: (memberId: string) => Milliseconds;
 }
 
 export const maximumVoters = 7;
@@ -31,8 +30,6 @@
 export const minimumVoters = 3;
 /** Time without contact after which a member is removed, so that a smaller majority suffices at the next failure. */
 export const memberTimeoutMs = 3_500;
-/** Time after which a removed member may join again; announcements outlive their instance for a while. */
-export const readmissionDelayMs = 15_000;
 
 /** The instance part of a member id. */
 export const getInstanceOfMember = (memberId: string): string => memberId.slice(0, memberId.lastIndexOf("~"));
@@ -48,11 +45,11 @@
 
 /** Adds the new incarnation as a learner, promotes it, and removes the former one. */
 const replaceFormerIncarnation = (input: RepairInput): MembershipChange | undefined => {
-    const { members, announced } = input;
-    for (const replica of announced) {
+    const { members, answering } = input;
+    for (const replica of answering) {
         const former = members.find(member => isOtherIncarnation(member, replica));
         const present = members.find(member => member.memberId === replica.memberId);
-        if (former && !present && mayJoin(replica, input)) {
+        if (former && !present) {
             return addLearner(replica);
         }
         if (former && present?.voter) {
@@ -66,10 +63,10 @@
 };
 
 const admitNewMember = (input: RepairInput): MembershipChange | undefined => {
-    const { members, announced } = input;
-    for (const replica of announced) {
+    const { members, answering } = input;
+    for (const replica of answering) {
         const present = members.find(member => member.memberId === replica.memberId);
-        if (!present && members.length < maximumVoters && mayJoin(replica, input)) {
+        if (!present && members.length < maximumVoters) {
             return addLearner(replica);
         }
         if (present && !present.voter && input.isCaughtUp(present.memberId)) {
@@ -92,9 +89,6 @@
     return unresponsive ? remove(unresponsive) : undefined;
 };
 
-const mayJoin = (replica: AnnouncedReplica, { getTimeSinceRemoval }: RepairInput): boolean =>
-    getTimeSinceRemoval(replica.memberId) > readmissionDelayMs;
-
 const promote = (member: GroupMember): MembershipChange => create(MembershipChangeSchema, { promote: member.memberId });
 
 const remove = (member: GroupMember): MembershipChange => create(MembershipChangeSchema, { remove: member.memberId });
--- a/packages/control/tests/MemberHistory.test.ts
+++ b/packages/control/tests/MemberHistory.test.ts
@@ -1,4 +1,4 @@
-/** The leader's record of contacts with and removals of its group's members. */
+/** The leader's record of contacts with its group's members. */
 
 import { VirtualTime } from "@anvilmux/common";
 import { GroupMemberSchema, MembershipChangeSchema } from "@anvilmux/protocol";
@@ -28,13 +28,4 @@
         await time.advance(500);
         expect(history.getTimeSinceContact("d~1")).toBe(500);
     });
-
-    test("time since removal counts from the removal, and is infinite for members that were not removed", async () => {
-        const time = new VirtualTime();
-        const history = new MemberHistory(time);
-        expect(history.getTimeSinceRemoval("a~1")).toBe(Infinity);
-        history.recordChange(create(MembershipChangeSchema, { remove: "a~1" }));
-        await time.advance(700);
-        expect([history.getTimeSinceRemoval("a~1"), history.getTimeSinceRemoval("")]).toEqual([700, Infinity]);
-    });
 });
--- /dev/null
+++ b/packages/control/tests/RepairedGroup.ts
@@ -0,0 +1,45 @@
+/** A simulated control group whose leader also adapts the membership to the running nodes, as in a deployment. */
+
+import type { Address } from "@anvilmux/common";
+import { toAddress } from "@anvilmux/common";
+import { ControlService } from "@anvilmux/control";
+import type { Replica } from "@anvilmux/control";
+import { newSignedAuthority } from "@anvilmux/manifest";
+import { IdentifyReplySchema } from "@anvilmux/protocol";
+import { newSilentLogger } from "@anvilmux/telemetry";
+import type { ConsensusClient } from "@anvilmux/transport";
+import { create } from "@bufbuild/protobuf";
+import { ReplicaGroup } from "./ReplicaGroup";
+import type { Node } from "./ReplicaGroup";
+
+const toNodeAddress = (number: number): Address => toAddress(`node-${number}:7401`);
+
+export class RepairedGroup extends ReplicaGroup {
+    protected override startReplica(node: Node, replica: Replica): void {
+        const service = new ControlService({
+            replica,
+            selfAddress: toNodeAddress(node.number),
+            initialAddresses: [],
+            connect: address => this.newClient(node, address),
+            authority: newSignedAuthority(new Map()),
+            clock: this.time,
+            timers: this.time,
+            logger: newSilentLogger(),
+            // Announcements outlive their instance: those of stopped and isolated nodes are still known.
+            getAnnouncedReplicas: () =>
+                this.nodes.map(({ memberId, number }) => ({ memberId, address: toNodeAddress(number) })),
+        });
+        service.start();
+    }
+
+    private newClient(from: Node, address: Address): ConsensusClient {
+        const target = this.nodes.find(node => toNodeAddress(node.number) === address)!;
+        const identify = async () => {
+            if (!target.replica || !this.isConnected(from, target)) {
+                throw new Error("no reply");
+            }
+            return create(IdentifyReplySchema, { memberId: target.memberId, formed: target.replica.isFormed });
+        };
+        return { identify } as unknown as ConsensusClient;
+    }
+}
--- a/packages/control/tests/ReplicaGroup.ts
+++ b/packages/control/tests/ReplicaGroup.ts
@@ -28,7 +28,7 @@
     | "two-members-at-once"
     | "log-not-synced";
 
-interface Node {
+export interface Node {
     readonly number: number;
     readonly files: MemoryFiles;
     replica: Replica | undefined;
@@ -96,6 +96,10 @@
             earlyCampaigns: this.earlyCampaigns,
         }, entry => this.checkApplied(node, entry));
         node.replica = replica;
+        this.startReplica(node, replica);
+    }
+
+    protected startReplica(_node: Node, replica: Replica): void {
         replica.start();
     }
 
@@ -344,7 +348,7 @@
         });
     }
 
-    private isConnected(left: Node, right: Node): boolean {
+    protected isConnected(left: Node, right: Node): boolean {
         return !this.isolated.has(left.number) && !this.isolated.has(right.number);
     }
 }
--- a/packages/control/tests/groupRepair.test.ts
+++ b/packages/control/tests/groupRepair.test.ts
@@ -22,19 +22,16 @@
     unresponsive: readonly string[] = [],
 ) => {
     let current = group;
-    const removed = new Set<string>();
     for (let step = 0; step < 50; step++) {
         const change = getNextRepair({
             members: current.members,
-            announced,
+            answering: announced.filter(replica => !unresponsive.includes(replica.memberId)),
             getTimeSinceContact: memberId => unresponsive.includes(memberId) ? memberTimeoutMs + 1 : 0,
             isCaughtUp: memberId => !unresponsive.includes(memberId),
-            getTimeSinceRemoval: memberId => removed.has(memberId) ? 0 : Infinity,
         });
         if (!change) {
             return current.members.map(member => `${member.memberId}${member.voter ? "" : "?"}`).sort();
         }
-        removed.add(change.remove);
         current = changeGroup(current, change);
     }
     throw new Error("repairs did not converge");
@@ -55,7 +52,7 @@
         expect(repairAll(newGroup("a~1", "b~1", "c~1"), announced, ["c~1"])).toEqual(["a~1", "b~1", "d~1"]);
     });
 
-    test("an unresponsive voter is removed although still announced, and is not readmitted immediately", () => {
+    test("an unresponsive voter is removed although still announced, and is not readmitted while it does not answer", () => {
         const announced = announce("a~1", "b~1", "c~1", "d~1");
         expect(repairAll(newGroup("a~1", "b~1", "c~1", "d~1"), announced, ["c~1"])).toEqual(["a~1", "b~1", "d~1"]);
     });
--- /dev/null
+++ b/packages/control/tests/groupTolerance.test.ts
@@ -0,0 +1,70 @@
+/** The control group keeps the number of losses that it can bear, also after earlier losses that are over. */
+
+import { getVoters } from "@anvilmux/control";
+import { RepairedGroup } from "./RepairedGroup";
+
+/** Time after its return within which an instance counts for the group again. */
+const catchUpMs = 6_000;
+/** A cut that is longer than the time after which unresponsive voters are removed. */
+const cutMs = 6_300;
+
+const newGroupWithClaims = async (seed: number, size: number): Promise<RepairedGroup> => {
+    const group = new RepairedGroup(seed, size, "none", 4);
+    await group.start();
+    await group.advance(3_000);
+    await grantClaims(group);
+    return group;
+};
+
+const grantClaims = async (group: RepairedGroup): Promise<void> => {
+    for (let round = 0; round < 10; round++) {
+        group.proposeClaim();
+        await group.advance(100);
+    }
+};
+
+const cutOff = async (group: RepairedGroup, numbers: readonly number[], duration: number): Promise<void> => {
+    numbers.forEach(number => group.isolate(number));
+    await group.advance(duration);
+    group.heal();
+};
+
+const countVoters = (group: RepairedGroup): number => getVoters(group.leader!.replica!.group).length;
+
+/** Some nodes lose their disks at the moment at which all others lose power; then all start again. */
+const restartAllWithoutDisksOf = async (group: RepairedGroup, numbers: readonly number[]): Promise<void> => {
+    for (const { number } of group.nodes) {
+        await (numbers.includes(number) ? group.loseDisk(number) : group.crash(number));
+    }
+    for (const { number } of group.nodes) {
+        await group.startNode(number);
+    }
+};
+
+describe("a group of six without a majority after two disks were lost", () => {
+    test.each([[0, 1], [0, 2], [1, 3], [2, 3]])("%i and %i, once the others are back from a cut", async (...lost) => {
+        const group = await newGroupWithClaims(7, 6);
+        await cutOff(group, [4, 5], cutMs);
+        await group.advance(catchUpMs);
+        await grantClaims(group);
+        await restartAllWithoutDisksOf(group, lost);
+        await group.checkNoClaimLost();
+        expect(group.violations).toEqual([]);
+    });
+});
+
+test("instances that were cut off and are back stay outside the group", async () => {
+    const group = await newGroupWithClaims(8, 6);
+    await cutOff(group, [4, 5], cutMs);
+    await group.advance(catchUpMs);
+    expect(countVoters(group)).toBe(6);
+});
+
+test("an instance that is announced and does not answer is taken back and removed in turn", async () => {
+    const group = await newGroupWithClaims(10, 4);
+    await group.crash(3);
+    await group.advance(10_000);
+    const { commitIndex } = group.leader!.replica!;
+    await group.advance(30_000);
+    expect([countVoters(group), group.leader!.replica!.commitIndex]).toEqual([3, commitIndex]);
+});
