Control: a silent voter is removed only where that lowers the majority

Cause: silent voters were removed down to three whatever the deployment has to bear. From five voters to four the majority stays at three, so nothing is gained, and one loss less is borne while the zone is away and until its instances are members again. Evidence: groupTolerance.test.ts, six replicas, two cut off for 30 s: four voters before, five now. Change: a silent voter goes where an even number vote, or where a replica that answers waits for its place (at seven members). Ruled out: a setting with the losses to be borne, which gives the same numbers for six and seven machines and has to be set rightly.

--- a/packages/control/src/groupRepair.ts
+++ b/packages/control/src/groupRepair.ts
@@ -28,7 +28,7 @@
 export const maximumVoters = 7;
 /** At this number of voters or fewer, unresponsive ones are kept. */
 export const minimumVoters = 3;
-/** Time without contact after which a member is removed, so that a smaller majority suffices at the next failure. */
+/** Time without contact after which a member may be removed, so that a smaller majority suffices at the next failure. */
 export const memberTimeoutMs = 3_500;
 
 /** The instance part of a member id. */
@@ -76,10 +76,15 @@
     return undefined;
 };
 
-const removeUnresponsiveVoter = ({ members, getTimeSinceContact }: RepairInput): MembershipChange | undefined => {
+/** Only where it lowers the number of votes that a majority needs, or makes room for a replica that waits to join. */
+const removeUnresponsiveVoter = ({ members, answering, getTimeSinceContact }: RepairInput) => {
     const voters = members.filter(member => member.voter);
     const unresponsive = voters.find(member => getTimeSinceContact(member.memberId) > memberTimeoutMs);
-    return unresponsive && voters.length > minimumVoters ? remove(unresponsive) : undefined;
+    const lowersQuorum = voters.length % 2 === 0;
+    const isRoomNeeded = members.length >= maximumVoters
+        && answering.some(replica => !members.some(member => member.memberId === replica.memberId));
+    const isRemovable = voters.length > minimumVoters && (lowersQuorum || isRoomNeeded);
+    return unresponsive && isRemovable ? remove(unresponsive) : undefined;
 };
 
 const removeUnresponsiveLearner = ({ members, getTimeSinceContact }: RepairInput): MembershipChange | undefined => {
--- a/packages/control/tests/groupTolerance.test.ts
+++ b/packages/control/tests/groupTolerance.test.ts
@@ -68,3 +68,11 @@
     await group.advance(30_000);
     expect([countVoters(group), group.leader!.replica!.commitIndex]).toEqual([3, commitIndex]);
 });
+
+test("a group of six shrinks to four voters while two are cut off, which bears one loss less and saves no vote", async () => {
+    const group = await newGroupWithClaims(9, 6);
+    group.isolate(4);
+    group.isolate(5);
+    await group.advance(30_000);
+    expect(countVoters(group)).toBe(5);
+});
