Control: a lost data folder is no voter any more beside its successor

Cause: the leader added the new incarnation, promoted it and only then removed the former one, which never answers again: until then a majority of three plus the lost one is three of the three that live. It also knew of the new folder from announcements only, which may be out of date. Evidence: groupTolerance.test.ts: a second instance stops right after the successor became a voter: no leader (failed before); an announcement that still names the former folder: the instance was never taken back (failed before). Change: the former incarnation is removed first, once the instance itself answers with another folder; the instances of members that do not answer are asked too. Ruled out: keeping the former one for safety; it has no data, and every majority is larger beside it.

--- a/packages/control/src/ControlService.ts
+++ b/packages/control/src/ControlService.ts
@@ -31,10 +31,10 @@
 import { create } from "@bufbuild/protobuf";
 import { proposalTimeoutMs } from "./constants";
 import { ControlError } from "./errors";
-import { findAnsweringReplicas } from "./findAnsweringReplicas";
+import { findCandidates } from "./findCandidates";
+import type { AnnouncedReplica } from "./findCandidates";
 import { isCaughtUp } from "./group";
 import { getNextRepair } from "./groupRepair";
-import type { AnnouncedReplica } from "./groupRepair";
 import { MemberHistory } from "./MemberHistory";
 import type { Replica } from "./Replica";
 
@@ -248,14 +248,12 @@
         const caughtUp = reachable
             .filter(progress => isCaughtUp(progress.matchIndex, replica.commitIndex))
             .map(progress => progress.memberId);
-        const answering = await findAnsweringReplicas(
-            this.options.getAnnouncedReplicas(),
-            memberId => reachable.some(progress => progress.memberId === memberId),
-            connect,
-        );
+        const isReachable = (memberId: string) => reachable.some(progress => progress.memberId === memberId);
+        const { members } = replica.group;
+        const candidates = await findCandidates(members, this.options.getAnnouncedReplicas(), isReachable, connect);
         return getNextRepair({
             members: replica.group.members,
-            answering,
+            candidates,
             getTimeSinceContact: memberId => this.history.getTimeSinceContact(memberId),
             isCaughtUp: memberId => caughtUp.includes(memberId),
         });
--- a/packages/control/src/groupRepair.ts
+++ b/packages/control/src/groupRepair.ts
@@ -4,21 +4,16 @@
  * incarnation, new instances join, and unresponsive voters are removed once others have taken their place.
  */
 
-import type { Address, Milliseconds } from "@anvilmux/common";
+import type { Milliseconds } from "@anvilmux/common";
 import type { GroupMember, MembershipChange } from "@anvilmux/protocol";
 import { GroupMemberSchema, MembershipChangeSchema } from "@anvilmux/protocol";
 import { create } from "@bufbuild/protobuf";
-
-/** The data folder that an instance announces. */
-export interface AnnouncedReplica {
-    readonly memberId: string;
-    readonly address: Address;
-}
+import type { AnnouncedReplica } from "./findCandidates";
 
 export interface RepairInput {
     readonly members: readonly GroupMember[];
-    /** Announced replicas that answer at their address. */
-    readonly answering: readonly AnnouncedReplica[];
+    /** Replicas outside the group that answer at their address. */
+    readonly candidates: readonly AnnouncedReplica[];
     /** Time since the leader's last contact with a member; 0 while it is reachable. */
     readonly getTimeSinceContact: (memberId: string) => Milliseconds;
     /** True for a reachable member that lacks only a few committed entries. */
@@ -36,53 +31,34 @@
 
 /** Undefined when no change is needed. */
 export const getNextRepair = (input: RepairInput): MembershipChange | undefined =>
-    removeUnresponsiveLearner(input) ?? replaceFormerIncarnation(input) ?? admitNewMember(input)
-        ?? removeUnresponsiveVoter(input);
+    removeUnresponsiveLearner(input) ?? removeFormerIncarnation(input) ?? promoteLearner(input)
+        ?? admitCandidate(input) ?? removeUnresponsiveVoter(input);
 
-const isOtherIncarnation = (member: GroupMember, announced: AnnouncedReplica): boolean =>
-    member.memberId !== announced.memberId
-    && getInstanceOfMember(member.memberId) === getInstanceOfMember(announced.memberId);
+/** The former incarnation never votes again; it goes first, so that no majority has to be found beside it. */
+const removeFormerIncarnation = ({ members, candidates, isCaughtUp }: RepairInput): MembershipChange | undefined => {
+    const instances = new Set(candidates.map(candidate => getInstanceOfMember(candidate.memberId)));
+    const former = members.find(member =>
+        instances.has(getInstanceOfMember(member.memberId)) && !isCaughtUp(member.memberId)
+    );
+    return former && members.length > 1 ? remove(former) : undefined;
+};
 
-/** Adds the new incarnation as a learner, promotes it, and removes the former one. */
-const replaceFormerIncarnation = (input: RepairInput): MembershipChange | undefined => {
-    const { members, answering } = input;
-    for (const replica of answering) {
-        const former = members.find(member => isOtherIncarnation(member, replica));
-        const present = members.find(member => member.memberId === replica.memberId);
-        if (former && !present) {
-            return addLearner(replica);
-        }
-        if (former && present?.voter) {
-            return remove(former);
-        }
-        if (former && present && input.isCaughtUp(present.memberId)) {
-            return promote(present);
-        }
-    }
-    return undefined;
+const promoteLearner = ({ members, isCaughtUp }: RepairInput): MembershipChange | undefined => {
+    const learner = members.find(member => !member.voter && isCaughtUp(member.memberId));
+    return learner && create(MembershipChangeSchema, { promote: learner.memberId });
 };
 
-const admitNewMember = (input: RepairInput): MembershipChange | undefined => {
-    const { members, answering } = input;
-    for (const replica of answering) {
-        const present = members.find(member => member.memberId === replica.memberId);
-        if (!present && members.length < maximumVoters) {
-            return addLearner(replica);
-        }
-        if (present && !present.voter && input.isCaughtUp(present.memberId)) {
-            return promote(present);
-        }
-    }
-    return undefined;
+const admitCandidate = ({ members, candidates }: RepairInput): MembershipChange | undefined => {
+    const [candidate] = candidates;
+    return candidate && members.length < maximumVoters ? addLearner(candidate) : undefined;
 };
 
 /** Only where it lowers the number of votes that a majority needs, or makes room for a replica that waits to join. */
-const removeUnresponsiveVoter = ({ members, answering, getTimeSinceContact }: RepairInput) => {
+const removeUnresponsiveVoter = ({ members, candidates, getTimeSinceContact }: RepairInput) => {
     const voters = members.filter(member => member.voter);
     const unresponsive = voters.find(member => getTimeSinceContact(member.memberId) > memberTimeoutMs);
     const lowersQuorum = voters.length % 2 === 0;
-    const isRoomNeeded = members.length >= maximumVoters
-        && answering.some(replica => !members.some(member => member.memberId === replica.memberId));
+    const isRoomNeeded = members.length >= maximumVoters && candidates.length > 0;
     const isRemovable = voters.length > minimumVoters && (lowersQuorum || isRoomNeeded);
     return unresponsive && isRemovable ? remove(unresponsive) : undefined;
 };
@@ -94,8 +70,6 @@
     return unresponsive ? remove(unresponsive) : undefined;
 };
 
-const promote = (member: GroupMember): MembershipChange => create(MembershipChangeSchema, { promote: member.memberId });
-
 const remove = (member: GroupMember): MembershipChange => create(MembershipChangeSchema, { remove: member.memberId });
 
 const addLearner = (replica: AnnouncedReplica): MembershipChange =>
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./ControlService";
 export * from "./ControlState";
 export * from "./errors";
+export * from "./findCandidates";
 export * from "./group";
 export * from "./groupRepair";
 export * from "./Replica";
--- a/packages/control/tests/RepairedGroup.ts
+++ b/packages/control/tests/RepairedGroup.ts
@@ -15,6 +15,9 @@
 const toNodeAddress = (number: number): Address => toAddress(`node-${number}:7401`);
 
 export class RepairedGroup extends ReplicaGroup {
+    /** Member ids that are announced in place of the present ones, by node. */
+    readonly announcedIds = new Map<number, string>();
+
     protected override startReplica(node: Node, replica: Replica): void {
         const service = new ControlService({
             replica,
@@ -27,13 +30,16 @@
             logger: newSilentLogger(),
             // Announcements outlive their instance: those of stopped and isolated nodes are still known.
             getAnnouncedReplicas: () =>
-                this.nodes.map(({ memberId, number }) => ({ memberId, address: toNodeAddress(number) })),
+                this.nodes.map(({ memberId, number }) => ({
+                    memberId: this.announcedIds.get(number) ?? memberId,
+                    address: toNodeAddress(number),
+                })),
         });
         service.start();
     }
 
     private newClient(from: Node, address: Address): ConsensusClient {
-        const target = this.nodes.find(node => toNodeAddress(node.number) === address)!;
+        const target = this.nodes.find(node => address.startsWith(`node-${node.number}`))!;
         const identify = async () => {
             if (!target.replica || !this.isConnected(from, target)) {
                 throw new Error("no reply");
--- a/packages/control/tests/groupRepair.test.ts
+++ b/packages/control/tests/groupRepair.test.ts
@@ -25,7 +25,9 @@
     for (let step = 0; step < 50; step++) {
         const change = getNextRepair({
             members: current.members,
-            answering: announced.filter(replica => !unresponsive.includes(replica.memberId)),
+            candidates: announced.filter(({ memberId }) =>
+                !unresponsive.includes(memberId) && !current.members.some(member => member.memberId === memberId)
+            ),
             getTimeSinceContact: memberId => unresponsive.includes(memberId) ? memberTimeoutMs + 1 : 0,
             isCaughtUp: memberId => !unresponsive.includes(memberId),
         });
--- a/packages/control/tests/groupTolerance.test.ts
+++ b/packages/control/tests/groupTolerance.test.ts
@@ -76,3 +76,33 @@
     await group.advance(30_000);
     expect(countVoters(group)).toBe(5);
 });
+
+test("a lost data folder still counts as a voter when its successor votes, so that the next loss stops the group", async () => {
+    const group = await newGroupWithClaims(11, 3);
+    const lost = group.nodes.find(node => node !== group.leader)!;
+    await group.loseDisk(lost.number);
+    await group.startNode(lost.number);
+    const isVoting = () => getVoters(group.leader!.replica!.group).some(voter => voter.memberId === lost.memberId);
+    for (let wait = 0; wait < 100 && !isVoting(); wait++) {
+        await group.advance(50);
+    }
+    expect(isVoting()).toBe(true);
+    await group.crash(group.nodes.find(node => node !== group.leader && node !== lost)!.number);
+    await group.advance(5_000);
+    let isConfirmed = false;
+    void group.leader?.replica?.confirmLeadership().then(result => isConfirmed = result);
+    await group.advance(1_000);
+    expect(isConfirmed).toBe(true);
+});
+
+test("an instance that lost its data folder stays outside the group while its announcement is out of date", async () => {
+    const group = await newGroupWithClaims(12, 3);
+    const lost = group.nodes.find(node => node !== group.leader)!;
+    const formerId = lost.memberId;
+    await group.loseDisk(lost.number);
+    group.announcedIds.set(lost.number, formerId);
+    await group.startNode(lost.number);
+    await group.advance(catchUpMs);
+    const voters = getVoters(group.leader!.replica!.group).map(voter => voter.memberId);
+    expect([voters.length, voters.includes(formerId)]).toEqual([3, false]);
+});
