Control: a client beside a replica that is behind follows the hint of the instance it asks

Cause: the client asks the leader that the local replica knows before the one that a reply names. Change: hints are followed first, each instance once between two pauses; an instance that does not lead is passed over in this search as the known leader, and the others are asked in turn. Ruled out: asking the local replica's leader last, which would cost a call on every change after an election.

--- a/packages/control/src/ControlClient.ts
+++ b/packages/control/src/ControlClient.ts
@@ -49,7 +49,7 @@
 
 export class ControlClient {
     private leader: Address | undefined;
-    /** The address whose call failed last; not assumed to be the leader until some call succeeds. */
+    /** The address that failed or did not lead last; not assumed to be the leader until some call succeeds. */
     private failedAddress: Address | undefined;
     private pending: PendingCommand[] = [];
     private flushScheduled = false;
@@ -134,9 +134,14 @@
     ): Promise<T> {
         const deadline = this.options.clock.now() + proposalTimeoutMs;
         let reason = "no control instance is known";
+        let hint: Address | undefined;
+        const passedOver = new Set<Address>();
+        let askedSincePause: Address[] = [];
         while (this.options.clock.now() < deadline) {
-            const address = this.pickAddress();
+            const address = hint ?? this.pickAddress(passedOver);
+            hint = undefined;
             if (address) {
+                askedSincePause.push(address);
                 try {
                     const { reply, notLeader, leaderHint } = await call(address);
                     if (!notLeader) {
@@ -145,25 +150,28 @@
                         return reply;
                     }
                     reason = `${address} does not lead`;
-                    this.leader = leaderHint !== "" && leaderHint !== address ? toAddress(leaderHint) : undefined;
-                    if (this.leader) {
-                        continue;
-                    }
+                    hint = leaderHint === "" ? undefined : toAddress(leaderHint);
                 }
                 catch (error) {
                     reason = getErrorMessage(error);
-                    this.leader = undefined;
-                    this.failedAddress = address;
                 }
+                this.leader = undefined;
+                this.failedAddress = address;
+                passedOver.add(address);
+            }
+            if (hint === undefined || askedSincePause.includes(hint)) {
+                hint = undefined;
+                askedSincePause = [];
+                await sleep(this.options.timers, retryDelayMs);
             }
-            await sleep(this.options.timers, retryDelayMs);
         }
         throw new ControlError("no-quorum", `no leader of the control group answered in time (${reason})`);
     }
 
-    private pickAddress(): Address | undefined {
+    /** The known leader unless it was passed over, as the local replica may be behind; otherwise each instance in turn. */
+    private pickAddress(passedOver: ReadonlySet<Address>): Address | undefined {
         const known = this.options.getKnownLeader?.() ?? this.leader;
-        if (known && known !== this.failedAddress) {
+        if (known && known !== this.failedAddress && !passedOver.has(known)) {
             return known;
         }
         const addresses = this.options.getControlAddresses();
--- a/packages/control/tests/ControlClient.test.ts
+++ b/packages/control/tests/ControlClient.test.ts
@@ -63,3 +63,59 @@
     await second;
     expect(contacted).toEqual([stalledLeader, newLeader]);
 });
+
+describe("a replica that is behind", () => {
+    const thirdInstance = toAddress("10.0.0.3:1");
+
+    /** A client beside a replica that takes `stalledLeader` for the leader; hints by the instance that gives them. */
+    const newMisledClient = (time: VirtualTime, hints: ReadonlyMap<Address, Address>, leader: Address) => {
+        const contacted: Address[] = [];
+        const connect = (address: Address): ConsensusClient =>
+            ({
+                propose: async () => {
+                    contacted.push(address);
+                    if (address === leader) {
+                        const results = [create(CommandResultSchema, { accepted: true, index: 1n })];
+                        return create(ProposeReplySchema, { results });
+                    }
+                    return create(ProposeReplySchema, { notLeader: true, leaderHint: hints.get(address) ?? "" });
+                },
+            }) as unknown as ConsensusClient;
+        const client = new ControlClient({
+            getControlAddresses: () => [stalledLeader, newLeader, thirdInstance],
+            getKnownLeader: () => stalledLeader,
+            connect,
+            clock: time,
+            timers: time,
+            onMessage: () => undefined,
+        });
+        return { client, contacted };
+    };
+
+    const submit = async (time: VirtualTime, client: ControlClient): Promise<boolean> => {
+        let accepted = false;
+        client.submitManifest("{}").then(result => accepted = result.accepted, () => undefined);
+        await time.advance(900);
+        return accepted;
+    };
+
+    test("asks a former leader again and again although that names the present one", async () => {
+        const time = new VirtualTime();
+        const { client, contacted } = newMisledClient(time, new Map([[stalledLeader, newLeader]]), newLeader);
+        expect([await submit(time, client), contacted]).toEqual([true, [stalledLeader, newLeader]]);
+    });
+
+    test("asks a former leader again and again that names nobody", async () => {
+        const time = new VirtualTime();
+        const { client } = newMisledClient(time, new Map(), thirdInstance);
+        expect(await submit(time, client)).toBe(true);
+    });
+
+    test("goes back and forth between two instances that name each other", async () => {
+        const time = new VirtualTime();
+        const hints = new Map([[stalledLeader, newLeader], [newLeader, stalledLeader]]);
+        const { client, contacted } = newMisledClient(time, hints, thirdInstance);
+        expect(await submit(time, client)).toBe(true);
+        expect(contacted.length).toBeLessThan(12);
+    });
+});
