--- a/packages/control/src/Leadership.ts
+++ b/packages/control/src/Leadership.ts
@@ -297,12 +297,7 @@
     }
 
     private handleAppendReply(follower: Follower, reply: AppendReply, sentAt: Milliseconds): void {
-        if (reply.wrongMember) {
-            throw new ControlError(
-                "wrong-member",
-                `the instance of member "${follower.member.memberId}" has a different data folder`,
-            );
-        }
+        requireMember(follower.member, reply);
         this.recordConfirmation(follower, sentAt);
         if (!reply.success) {
             follower.nextIndex = reply.index < follower.nextIndex ? reply.index : follower.nextIndex - 1n;
@@ -336,6 +331,7 @@
             if (!this.isActiveFollower(follower) || !this.checkTerm(reply.term)) {
                 return;
             }
+            requireMember(follower.member, reply);
             this.recordConfirmation(follower, sentAt);
             offset = Number(reply.nextOffset);
         }
@@ -385,3 +381,10 @@
         }
     }
 }
+
+/** Throws when the reply comes from another data folder than the member's; such a reply confirms nothing. */
+const requireMember = ({ memberId }: GroupMember, reply: { readonly wrongMember: boolean; }): void => {
+    if (reply.wrongMember) {
+        throw new ControlError("wrong-member", `the instance of member "${memberId}" has a different data folder`);
+    }
+};
--- a/packages/control/src/Replica.ts
+++ b/packages/control/src/Replica.ts
@@ -154,7 +154,10 @@
 
     handleSnapshot(chunk: SnapshotChunk): Promise<SnapshotReply> {
         return this.mutex.run(async () => {
-            if (chunk.to !== this.memberId || chunk.term < this.term) {
+            if (chunk.to !== this.memberId) {
+                return create(SnapshotReplySchema, { term: this.term, wrongMember: true });
+            }
+            if (chunk.term < this.term) {
                 return create(SnapshotReplySchema, { term: this.term, nextOffset: 0n });
             }
             await this.becomeFollower(chunk.term, chunk.leader);
--- a/packages/control/tests/exploration.test.ts
+++ b/packages/control/tests/exploration.test.ts
@@ -171,4 +171,22 @@
         await group.checkNoClaimLost();
         expect(group.violations).toEqual([]);
     });
+
+    test("an empty folder that refuses a snapshot for its former incarnation confirms a leader without a majority", async () => {
+        const group = new ReplicaGroup(22, 3);
+        await group.start();
+        await group.advance(3_000);
+        const [lost, other] = group.nodes.filter(node => node !== group.leader);
+        await group.crash(lost!.number);
+        for (let round = 0; round < 10; round++) {
+            group.proposeClaim();
+            await group.advance(100);
+        }
+        await group.leader!.replica!.compact(0);
+        await group.loseDisk(lost!.number);
+        await group.startNode(lost!.number);
+        group.isolate(other!.number);
+        await group.advance(3_000);
+        expect(group.leader).toBeUndefined();
+    });
 });
