Transport: a connection on which nothing is answered is replaced after 0.6 s

Cause: the group's calls share one HTTP/2 connection for each instance; pings close a silent one after up to 3 s, and the next attempt is made while the zone is still cut off: its first packet is sent again after 1, 2 and 4 s only, and every call waits for that attempt. Change: a call that times out when nothing was answered for 0.6 s closes the connection. Ruled out: shorter pings, which do not run before a connection is established, and a limit on connecting alone, which leaves established connections to the system's retransmission.

--- a/packages/anvilmux/src/services/peers.ts
+++ b/packages/anvilmux/src/services/peers.ts
@@ -53,7 +53,7 @@
         })
         .define({
             token: networkToken,
-            requires: [metricsToken, peerServerToken],
+            requires: [metricsToken, peerServerToken, clockToken],
             start: () => {
                 const server = kernel.get(peerServerToken);
                 kernel.get(metricsToken).gauge("anvilmux_peer_bytes_total", {}, () => server.getByteCount());
@@ -62,6 +62,7 @@
                     getTls: () => readPeerTls(settings),
                     onMessage: method => kernel.get(metricsToken).count("anvilmux_peer_calls_total", { method }),
                     isReachable: environment.isReachable,
+                    clock: kernel.get(clockToken),
                 });
             },
             stop: network => network.close(),
--- a/packages/anvilmux/tests/boundary.test.ts
+++ b/packages/anvilmux/tests/boundary.test.ts
@@ -1,6 +1,6 @@
 /** Invalid input at the public and peer servers is refused, runs nothing and does not stop the process. */
 
-import { toAddress } from "@anvilmux/common";
+import { newSystemClock, toAddress } from "@anvilmux/common";
 import { newPeerNetwork } from "@anvilmux/transport";
 import fc from "fast-check";
 import { connect } from "node:net";
@@ -205,7 +205,7 @@
     test("a client without the peer secret is refused", async () => {
         const peerAddress = toAddress(deployment.getPeerAddress(deployment.getInstanceIds()[0]!));
         for (const secrets of [["wrong"], []]) {
-            const network = newPeerNetwork({ secrets });
+            const network = newPeerNetwork({ secrets, clock: newSystemClock() });
             await expect(network.peer(peerAddress).fetchConfiguration({ knownIndex: 0n })).rejects.toThrow(
                 "unknown peer",
             );
--- a/packages/transport/src/peerNetwork.ts
+++ b/packages/transport/src/peerNetwork.ts
@@ -1,9 +1,11 @@
 /** RPC clients for other instances, over HTTP/2; calls to one address share a connection. */
 
+import type { Clock, Milliseconds } from "@anvilmux/common";
 import { ConsensusService, PeerService } from "@anvilmux/protocol";
-import { createClient } from "@connectrpc/connect";
+import { Code, ConnectError, createClient } from "@connectrpc/connect";
 import type { Interceptor, Transport } from "@connectrpc/connect";
 import { createGrpcTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import type { Socket } from "node:net";
 import { peerSecretHeader } from "./credentials";
 import type { PeerSecrets } from "./credentials";
 import type { ConsensusClient, PeerClient, PeerNetwork, PeerTls } from "./types";
@@ -16,6 +18,9 @@
     readonly onMessage?: (method: string) => void;
     /** Returns false for addresses to which calls must fail; used to simulate network partitions. */
     readonly isReachable?: (address: string) => boolean;
+    readonly clock: Clock;
+    /** Opens the socket of a connection without TLS; used to simulate lost packets. */
+    readonly openSocket?: (url: URL) => Socket;
 }
 
 interface Connection {
@@ -26,13 +31,18 @@
 
 const pingIntervalMs = 2_000;
 const pingTimeoutMs = 1_000;
+/**
+ * Time without any answer after which a call that times out closes the connection. The system sends lost packets again
+ * after seconds only, also those of a connection attempt; a new connection does not wait for that.
+ */
+const silenceTimeoutMs: Milliseconds = 600;
 
 const newConnection = (address: string, options: PeerNetworkOptions): Connection => {
     const tls = options.getTls?.();
     const baseUrl = `${tls ? "https" : "http"}://${address}`;
     const nodeOptions = tls
         ? { cert: tls.certificatePem, key: tls.privateKeyPem, ca: tls.authorityPem }
-        : undefined;
+        : options.openSocket && { createConnection: options.openSocket };
     const sessions = new Http2SessionManager(
         baseUrl,
         { pingIntervalMs, pingTimeoutMs, pingIdleConnection: false },
@@ -48,7 +58,7 @@
     };
     const transport: Transport = createGrpcTransport({
         baseUrl,
-        interceptors: [authenticate],
+        interceptors: [newSilenceInterceptor(options.clock, () => sessions.abort()), authenticate],
         sessionManager: sessions,
     });
     return {
@@ -58,6 +68,30 @@
     };
 };
 
+/** Calls `onSilence` when a call times out and none was answered for `silenceTimeoutMs` while some were open. */
+const newSilenceInterceptor = (clock: Clock, onSilence: () => void): Interceptor => {
+    let unansweredSince: Milliseconds | undefined;
+    return next => async request => {
+        unansweredSince ??= clock.now();
+        try {
+            const response = await next(request);
+            unansweredSince = undefined;
+            return response;
+        }
+        catch (error) {
+            const { code } = ConnectError.from(error);
+            const isSilent = clock.now() - (unansweredSince ?? clock.now()) >= silenceTimeoutMs;
+            if (code !== Code.DeadlineExceeded || isSilent) {
+                unansweredSince = undefined;
+            }
+            if (code === Code.DeadlineExceeded && isSilent) {
+                onSilence();
+            }
+            throw error;
+        }
+    };
+};
+
 export const newPeerNetwork = (options: PeerNetworkOptions): PeerNetwork => {
     const connections = new Map<string, Connection>();
     const connect = (address: string): Connection => {
