Control: only elections that no majority answers are logged

In the play of a zone cut a replica outside the group asked for votes up to 14 times a second and was denied; the line then says nothing of the group. It is written now only where too few voters answer, which is what it is for.

--- a/packages/control/src/collectVotes.ts
+++ b/packages/control/src/collectVotes.ts
@@ -1,4 +1,4 @@
-/** One round of voting: asks all other voters for their vote or pre-vote and logs a round that finds no majority. */
+/** One round of voting: asks all other voters for their vote or pre-vote and logs a round that no majority answers. */
 
 import type { GroupConfiguration, VoteReply } from "@anvilmux/protocol";
 import { VoteRequestSchema } from "@anvilmux/protocol";
@@ -43,8 +43,10 @@
                 resolve(true);
             }
             else if (answered === others.length) {
-                const votes = { needed, granted, replied, lastIndex: Number(lastIndex), voters: describeVoters(group) };
-                logger.info("control election without a majority", { term: Number(term), preVote, ...votes });
+                if (replied < needed) {
+                    const voters = describeVoters(group);
+                    logger.info("control election without a majority", { term: Number(term), needed, replied, voters });
+                }
                 resolve(false);
             }
         };
