Dispatch: runs that end with their worker's process are told from lost ones

A driver says when nothing listens at the worker's address; runs of a worker in state ready whose process is down when their lease is over, or that restarted, end as 'crashed' (log, anvilmux_run_ends_total). No decision changes.

--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -13,6 +13,8 @@
 
 export interface ListReaderOptions
     extends Pick<WorkerSessionOptions, "clock" | "logger" | "onEnd" | "onFound" | "onStandstill"> {
+    /** Called when the worker runs in a new incarnation, which has none of the earlier runs. */
+    readonly onRestart: () => void;
     readonly worker: WorkerId;
     readonly runs: RunTable;
     readonly time: WorkerTime;
@@ -59,10 +61,10 @@
         const isNewIncarnation = this.incarnation !== 0 && this.incarnation !== incarnation;
         this.incarnation = incarnation;
         if (isNewIncarnation) {
-            const { logger, worker, runs, onEnd } = this.options;
+            const { logger, worker, runs, onRestart } = this.options;
             logger.warn("worker restarted; its runs are lost", { worker, lostRuns: runs.size });
             this.lastCompletion = 0;
-            runs.getAll().forEach(run => onEnd(run, "lost"));
+            onRestart();
         }
     }
 
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -6,10 +6,10 @@
 import type { Resources, RunList, RunResult, TaskName, TaskRequest } from "./types";
 
 /**
- * How a run ended, as far as its owner knows. `lost`: its lease expired, its worker restarted or was removed, or it is
- * missing from its worker's list.
+ * How a run ended, as far as its owner knows. `lost`: its lease expired, or it is missing from its worker's list;
+ * `crashed`: its worker's process ended without having announced that.
  */
-export type RunOutcome = RunResult | "lost" | "never-started" | "refused-old" | "refused" | "invalid";
+export type RunOutcome = RunResult | "lost" | "crashed" | "never-started" | "refused-old" | "refused" | "invalid";
 
 export interface Run {
     readonly task: TaskName;
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -40,6 +40,8 @@
     private listsValidFrom: Milliseconds = 0;
     private closed = false;
     private unansweredWatches = 0;
+    /** True while the latest watch found that the worker's process does not run. */
+    private isProcessDown = false;
     private readonly paused: WorkerPause;
 
     constructor(private readonly options: WorkerSessionOptions) {
@@ -53,6 +55,7 @@
             runs: this.runs,
             time: this.workerTime,
             onEnd: (run, outcome) => this.end(run, outcome),
+            onRestart: () => this.endAll(this.getCrashOutcome()),
         });
         void this.runWatchLoop();
     }
@@ -270,6 +273,7 @@
         switch (answer.kind) {
             case "listed":
                 this.unansweredWatches = 0;
+                this.isProcessDown = false;
                 return this.handleList(answer.list, sentAt);
             case "refused":
                 this.options.onFenced(fencingToken);
@@ -278,6 +282,7 @@
                 this.handleRemoved();
                 return 0;
             case "unanswered":
+                this.isProcessDown = answer.isRefused ?? false;
                 return this.handleUnansweredWatch(answer.reason);
         }
     }
@@ -308,7 +313,7 @@
             return 1;
         }
         if (now > this.workerTime.runsPossibleUntil && this.runs.size > 0) {
-            this.endAll("lost");
+            this.endAll(this.isProcessDown ? this.getCrashOutcome() : "lost");
         }
         if (this.announced.state === "left" && this.runs.size === 0) {
             this.handleRemoved();
@@ -322,7 +327,7 @@
         if (this.closed) {
             return;
         }
-        this.endAll("lost");
+        this.endAll(this.getCrashOutcome());
         this.close();
         this.options.onRemoved();
     }
@@ -336,6 +341,11 @@
         }
     }
 
+    /** How runs end with their worker's process; one that announced its end is expected to take its runs with it. */
+    private getCrashOutcome(): RunOutcome {
+        return this.announced.state === "ready" ? "crashed" : "lost";
+    }
+
     private endAll(outcome: RunOutcome): void {
         this.runs.getAll().forEach(run => this.end(run, outcome));
     }
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -131,6 +131,16 @@
 
 export type StartRefusal = "fence" | "old" | "late" | "room" | "invalid" | "unhealthy";
 
+/** A call without an answer. */
+export interface Unanswered {
+    readonly kind: "unanswered";
+    readonly reason: string;
+    /** The call may not have been made, so this tells nothing of the worker. */
+    readonly isRelayLost?: boolean;
+    /** Nothing listens at the worker's address: its process does not run, and the call was not received. */
+    readonly isRefused?: boolean;
+}
+
 /** The answer to a start; `unanswered` means that the run may have started or may start until the order's deadline. */
 export type StartAnswer =
     | { readonly kind: "started"; readonly clock: Milliseconds; }
@@ -138,8 +148,7 @@
     | { readonly kind: "refused"; readonly reason: StartRefusal; readonly clock: Milliseconds | undefined; }
     /** Another worker answered at this address. */
     | { readonly kind: "gone"; }
-    /** `isRelayLost`: the call may not have been made, so this tells nothing of the worker. */
-    | { readonly kind: "unanswered"; readonly reason: string; readonly isRelayLost?: boolean; };
+    | Unanswered;
 
 export interface WatchOrder {
     readonly fencingToken: number;
@@ -156,7 +165,7 @@
     | { readonly kind: "refused"; readonly reason: "fence"; }
     /** Another worker answered at this address. */
     | { readonly kind: "gone"; }
-    | { readonly kind: "unanswered"; readonly reason: string; };
+    | Unanswered;
 
 /** Calls to one worker by its owner. They never reject. */
 export interface WorkerDriver {
