Dispatch: a task under which two workers crashed is given up

Cause: a lost run was queued again without being counted, and a resubmitted job began anew; only the caller's deadline ended it. Change: when a worker's process ends without notice, the tasks that ran there are suspected, or only those that were before; a suspected task runs alone where it can, is not forwarded, and is given up after the second crash: its job is answered with failed, also when it is submitted again within 60 s. Silence of a cut-off worker does not count, nor does an order that met a closed port, which now ends as never started.

--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -23,6 +23,7 @@
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly onEnd: (session: WorkerSession, run: Run, outcome: RunOutcome) => void;
+    readonly onCrash: (session: WorkerSession, runs: readonly Run[]) => void;
     readonly onFound: (session: WorkerSession, run: Run) => void;
     readonly onStandstill: (session: WorkerSession, run: Run, percent: number) => void;
     /** Called when a worker became usable or unreachable. */
@@ -96,6 +97,11 @@
         });
     }
 
+    /** The workers of a service that run something. */
+    getBusy(service: string): readonly WorkerSession[] {
+        return [...this.index.getAll(service)].filter(session => session.runCount > 0);
+    }
+
     /** Records a run that ended `done` after `ratio` times its estimate. */
     recordSuccess(session: WorkerSession, ratio: number): void {
         this.workers.get(session.id)?.record.recordSuccess(ratio);
@@ -160,6 +166,7 @@
             announcement,
             driver: this.options.connect(announcement),
             onEnd: (run, outcome) => this.options.onEnd(session, run, outcome),
+            onCrash: runs => this.options.onCrash(session, runs),
             onFound: run => this.options.onFound(session, run),
             onStandstill: (run, percent) => this.options.onStandstill(session, run, percent),
             onFreeChange: () => this.index.update(session),
--- a/packages/dispatch/src/RunCompletionHandler.ts
+++ b/packages/dispatch/src/RunCompletionHandler.ts
@@ -1,17 +1,21 @@
 /** Handles the end of a run: its task is done, its task is queued again, or its job ends. */
 
+import { crashesToGiveUp } from "./constants";
+import type { CrashSuspects } from "./CrashSuspects";
 import type { OwnedWorkers } from "./OwnedWorkers";
 import { runsSkippedAfterOld } from "./runNumbers";
 import type { Run, RunOutcome } from "./RunTable";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logUnsuccessfulRun } from "./schedulerLog";
+import { logCrash, logUnsuccessfulRun } from "./schedulerLog";
 import type { SchedulerLogContext } from "./schedulerLog";
+import type { JobAnswer, TaskName } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
 export class RunCompletionHandler {
     constructor(
         private readonly context: SchedulerLogContext,
         private readonly workers: OwnedWorkers,
+        private readonly suspects: CrashSuspects,
         private readonly events: TaskEvents,
     ) {}
 
@@ -25,6 +29,7 @@
         task.session = undefined;
         switch (outcome) {
             case "done":
+                this.suspects.clear(run.task);
                 this.workers.recordSuccess(session, ranMs / Math.max(1, task.request.estimateMs));
                 this.events.onDone(job, task);
                 return;
@@ -34,6 +39,13 @@
             case "invalid":
                 this.events.onFinish(job, { kind: "failed", reason: `the worker cannot read task ${run.task}` });
                 return;
+            case "crashed":
+                if (this.suspects.isGivenUp(run.task)) {
+                    this.events.onFinish(job, newGivenUpAnswer(run.task));
+                    return;
+                }
+                this.events.onRequeue(job, task);
+                return;
             case "stopped":
             case "never-started":
                 task.avoided.push(session);
@@ -48,6 +60,12 @@
         }
     }
 
+    /** Suspects the runs of a worker that crashed; their ends follow. */
+    handleCrash(session: WorkerSession, runs: readonly Run[]): void {
+        this.suspects.recordCrash(runs.map(run => run.task));
+        logCrash(this.context, session, runs);
+    }
+
     private handleFailure(job: ScheduledJob, task: ScheduledTask, session: WorkerSession): void {
         this.workers.recordFailure(session);
         task.failures += 1;
@@ -62,3 +80,8 @@
         this.events.onRequeue(job, task);
     }
 }
+
+export const newGivenUpAnswer = (task: TaskName): JobAnswer => ({
+    kind: "failed",
+    reason: `${crashesToGiveUp} workers crashed while they ran task ${task}`,
+});
--- /dev/null
+++ b/packages/dispatch/src/TaskPlacer.ts
@@ -0,0 +1,47 @@
+/** Places single tasks on workers and orders their start. */
+
+import type { CrashSuspects } from "./CrashSuspects";
+import type { OwnedWorkers } from "./OwnedWorkers";
+import { getLowestRunNumber } from "./runNumbers";
+import { markPlaced } from "./ScheduledJob";
+import type { ScheduledJob, ScheduledTask } from "./ScheduledJob";
+import { logPlacement } from "./schedulerLog";
+import type { SchedulerLogContext } from "./schedulerLog";
+import type { TaskName } from "./types";
+import type { WorkerSession } from "./WorkerSession";
+
+export class TaskPlacer {
+    constructor(
+        private readonly context: SchedulerLogContext,
+        private readonly workers: OwnedWorkers,
+        private readonly suspects: CrashSuspects,
+        /** The worker on which a task runs or may still run. */
+        private readonly liveRuns: Map<TaskName, WorkerSession>,
+    ) {}
+
+    /** False when the task may still run somewhere, or when no usable worker has capacity for it. */
+    place(job: ScheduledJob, task: ScheduledTask): boolean {
+        const { request } = task;
+        if (this.liveRuns.has(request.name)) {
+            return false;
+        }
+        const session = this.workers.choose(job.request.service, request, this.getAvoided(job, task));
+        if (!session) {
+            return false;
+        }
+        const { clock } = this.context;
+        const run = Math.max(task.lastRun + 1, getLowestRunNumber(clock.wallNow()));
+        markPlaced(job, task, session, run, clock.now());
+        this.liveRuns.set(request.name, session);
+        logPlacement(this.context, job, task, session);
+        session.start(request, run, job.request.payload);
+        return true;
+    }
+
+    /** A suspected task runs alone where it can, so that a crash harms no other and shows whether it is the cause. */
+    private getAvoided(job: ScheduledJob, { request, avoided }: ScheduledTask): readonly WorkerSession[] {
+        return this.suspects.isSuspect(request.name)
+            ? [...avoided, ...this.workers.getBusy(job.request.service)]
+            : avoided;
+    }
+}
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -6,26 +6,27 @@
 
 import type { JobId, Milliseconds, Unsubscribe } from "@anvilmux/common";
 import { maximumPassedOver, orphanGraceMs, schedulerTickMs, spilledGraceMs } from "./constants";
+import { CrashSuspects } from "./CrashSuspects";
 import { EndedJobs } from "./EndedJobs";
 import { JobTable } from "./JobTable";
 import { cannotMeetDeadline, mayHaveUnseenRuns, newAbortAnswer } from "./jobTimeouts";
 import type { SchedulerView } from "./jobTimeouts";
 import { OwnedWorkers } from "./OwnedWorkers";
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
-import { RunCompletionHandler } from "./RunCompletionHandler";
-import { getLowestRunNumber } from "./runNumbers";
+import { newGivenUpAnswer, RunCompletionHandler } from "./RunCompletionHandler";
 import type { Run, RunOutcome } from "./RunTable";
 import { applyResubmission, getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logAbortedJob, logClosedJob, logPlacement, logStalledRun } from "./schedulerLog";
+import { logAbortedJob, logClosedJob, logStalledRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
+import { TaskPlacer } from "./TaskPlacer";
 import { TaskSpiller } from "./TaskSpiller";
 import type { TaskSpillerOptions } from "./TaskSpiller";
 import type { FreeCapacity, JobAnswer, JobRequest, JobSubmitter, TaskName, WorkerAnnouncement } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
 export type TaskSchedulerOptions =
-    & Omit<OwnedWorkersOptions, "onEnd" | "onFound" | "onStandstill" | "onChange">
+    & Omit<OwnedWorkersOptions, "onEnd" | "onCrash" | "onFound" | "onStandstill" | "onChange">
     & TaskSpillerOptions;
 
 export class TaskScheduler {
@@ -36,6 +37,8 @@
     private readonly endedJobs: EndedJobs;
     private readonly spiller: TaskSpiller;
     private readonly completionHandler: RunCompletionHandler;
+    private readonly suspects: CrashSuspects;
+    private readonly placer: TaskPlacer;
     private placementScheduled = false;
     private closed = false;
     private transferring = false;
@@ -46,6 +49,7 @@
     constructor(private readonly options: TaskSchedulerOptions) {
         this.ownsSince = options.clock.now();
         this.endedJobs = new EndedJobs(options.clock);
+        this.suspects = new CrashSuspects(options.clock);
         const events: TaskEvents = {
             onDone: (job, task) => this.markTaskDone(job, task),
             onRequeue: (job, task) => this.requeueTask(job, task),
@@ -59,11 +63,13 @@
                 options.onFenced(fencingToken);
             },
             onEnd: (session, run, outcome) => this.handleRunCompletion(session, run, outcome),
+            onCrash: (session, runs) => this.completionHandler.handleCrash(session, runs),
             onFound: (session, run) => this.handleFoundRun(session, run),
             onStandstill: (session, run, percent) => this.handleStalledRun(session, run, percent),
             onChange: () => this.schedulePlacement(),
         });
-        this.completionHandler = new RunCompletionHandler(options, this.workers, events);
+        this.placer = new TaskPlacer(options, this.workers, this.suspects, this.liveRuns);
+        this.completionHandler = new RunCompletionHandler(options, this.workers, this.suspects, events);
         this.unsubscribe = options.timers.every(schedulerTickMs, () => this.tick());
     }
 
@@ -99,9 +105,9 @@
             return;
         }
         const job = newScheduledJob(request, submitter, now, uncertainUntil);
-        const obstacle = this.workers.findPermanentObstacle(request);
-        if (obstacle !== undefined) {
-            this.answer(job, { kind: "failed", reason: obstacle });
+        const obstacle = this.findPermanentObstacle(request);
+        if (obstacle) {
+            this.answer(job, obstacle);
             return;
         }
         this.jobs.add(job);
@@ -110,6 +116,16 @@
         this.schedulePlacement();
     }
 
+    /** The answer to a job that cannot be done here; undefined when it may be. */
+    private findPermanentObstacle(request: JobRequest): JobAnswer | undefined {
+        const givenUp = request.tasks.find(task => this.suspects.isGivenUp(task.name));
+        if (givenUp) {
+            return newGivenUpAnswer(givenUp.name);
+        }
+        const reason = this.workers.findPermanentObstacle(request);
+        return reason === undefined ? undefined : { kind: "failed", reason };
+    }
+
     private replaceSubmitter(job: ScheduledJob, submitter: JobSubmitter): void {
         job.submitter = submitter;
         job.withdrawn = false;
@@ -257,7 +273,7 @@
             return false;
         }
         for (const task of job.tasks) {
-            if (task.state === "waiting" && !this.tryToPlace(job, task)) {
+            if (task.state === "waiting" && !this.placer.place(job, task)) {
                 return false;
             }
         }
@@ -266,28 +282,12 @@
 
     private spill(job: ScheduledJob, view: SchedulerView): void {
         if (!job.request.spilled && !this.transferring && !mayHaveUnseenRuns(job, view)) {
-            this.spiller.spill(
-                job,
-                job.tasks.filter(task => task.state === "waiting" && !this.liveRuns.has(task.request.name)),
-            );
+            this.spiller.spill(job, job.tasks.filter(task => this.maySpill(task)));
         }
     }
 
-    private tryToPlace(job: ScheduledJob, task: ScheduledTask): boolean {
-        const { request } = task;
-        if (this.liveRuns.has(request.name)) {
-            return false;
-        }
-        const session = this.workers.choose(job.request.service, request, task.avoided);
-        if (!session) {
-            return false;
-        }
-        const run = Math.max(task.lastRun + 1, getLowestRunNumber(this.options.clock.wallNow()));
-        markPlaced(job, task, session, run, this.options.clock.now());
-        this.liveRuns.set(request.name, session);
-        logPlacement(this.options, job, task, session);
-        session.start(request, run, job.request.payload);
-        return true;
+    private maySpill({ state, request }: ScheduledTask): boolean {
+        return state === "waiting" && !this.liveRuns.has(request.name) && !this.suspects.isSuspect(request.name);
     }
 
     private handleFoundRun(session: WorkerSession, run: Run): void {
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -123,6 +123,10 @@
         }
     }
 
+    get runCount(): number {
+        return this.runs.size;
+    }
+
     getRun(task: TaskName): Run | undefined {
         return this.runs.get(task);
     }
@@ -174,6 +178,11 @@
                 this.handleRemoved();
                 return;
             case "unanswered":
+                if (answer.isRefused) {
+                    this.paused.recordUnanswered();
+                    this.end(run, "never-started");
+                    return;
+                }
                 this.handleUnansweredStart(run, answer.reason, answer.isRelayLost ?? false);
         }
     }
@@ -347,7 +356,11 @@
     }
 
     private endAll(outcome: RunOutcome): void {
-        this.runs.getAll().forEach(run => this.end(run, outcome));
+        const runs = this.runs.getAll();
+        if (outcome === "crashed" && runs.length > 0) {
+            this.options.onCrash(runs);
+        }
+        runs.forEach(run => this.end(run, outcome));
     }
 
     private end(run: Run, outcome: RunOutcome): void {
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -62,6 +62,11 @@
 /** Answers of ended jobs are kept for this long, for callers that resubmit. */
 export const endedJobRetentionMs = 6_000;
 export const maximumEndedJobs = 20_000;
+/** Workers that crash under a task before it is given up. */
+export const crashesToGiveUp = 2;
+/** Time for which a task is suspected after a worker crashed under it; longer than callers take to submit a job again. */
+export const suspicionRetentionMs = 60_000;
+export const maximumSuspects = 10_000;
 /** Period of the checks for waiting and overdue jobs. */
 export const schedulerTickMs = 20;
 /** Maximum number of jobs without capacity that one placement pass skips to place the jobs behind them. */
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -58,6 +58,19 @@
         failures: task.failures + (outcome === "failed" ? 1 : 0),
     });
 
+export const logCrash = (
+    { metrics, logger }: SchedulerLogContext,
+    session: WorkerSession,
+    runs: readonly Run[],
+): void => {
+    metrics.count("anvilmux_worker_crashes_total");
+    logger.warn("worker crashed; its runs are suspected", {
+        worker: session.id,
+        runs: runs.length,
+        tasks: runs.map(run => run.task).join(" "),
+    });
+};
+
 export const logStalledRun = (
     { clock, metrics, logger }: SchedulerLogContext,
     session: WorkerSession,
--- a/packages/dispatch/src/workerSessionOptions.ts
+++ b/packages/dispatch/src/workerSessionOptions.ts
@@ -14,6 +14,8 @@
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly onEnd: (run: Run, outcome: RunOutcome) => void;
+    /** Called before the runs of a worker whose process ended without notice are reported as ended. */
+    readonly onCrash: (runs: readonly Run[]) => void;
     /** Called for a listed run that this owner did not start. */
     readonly onFound: (run: Run) => void;
     /** Called with each list that shows a run as stalled, until its stop is ordered. */
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -13,12 +13,15 @@
     readonly millicores?: number;
     readonly objectiveMs?: Milliseconds;
     readonly attempts?: number;
+    readonly remainingMs?: Milliseconds;
     readonly resubmitted?: boolean;
     readonly mayRunElsewhere?: boolean;
     readonly spilled?: boolean;
 }
 
 const workerMillicores = 16_000;
+const crashDelayMs = 30;
+const crashedMs = 3_000;
 
 export class SchedulerFixture {
     readonly time = new VirtualTime();
@@ -31,6 +34,8 @@
     /** Tasks that ran twice at the same time. */
     readonly doubleRuns: TaskName[] = [];
     readonly startedTasks: TaskName[] = [];
+    /** Tasks under which their worker crashes soon after the start. */
+    readonly crashingTasks = new Set<string>();
     readonly fencedTokens: number[] = [];
     private readonly runningCounts = new Map<TaskName, number>();
     private readonly runTimes = new Map<string, Milliseconds>();
@@ -85,13 +90,17 @@
             priority: 0,
             attempts: options.attempts ?? 2,
             objectiveMs: options.objectiveMs ?? 1_000,
-            remainingMs: 5_000,
+            remainingMs: options.remainingMs ?? 5_000,
             resubmitted: options.resubmitted ?? false,
             mayRunElsewhere: options.mayRunElsewhere ?? false,
             spilled: options.spilled ?? false,
         };
     }
 
+    countStarts(task: string): number {
+        return this.startedTasks.filter(started => started === task).length;
+    }
+
     submit(scheduler: TaskScheduler, request: JobRequest, submitterKey = "home"): void {
         scheduler.submit(request, this.newSubmitter(request.id, submitterKey));
     }
@@ -126,7 +135,12 @@
                 memoryMebibytes: 64,
                 accelerators: 0,
             }),
-            onStart: task => this.recordStart(task),
+            onStart: task => {
+                this.recordStart(task);
+                if (this.crashingTasks.has(task)) {
+                    this.time.after(crashDelayMs, () => this.workers[number - 1]!.crash(crashedMs));
+                }
+            },
             onCompletion: task => this.runningCounts.set(task, (this.runningCounts.get(task) ?? 1) - 1),
         });
     }
--- a/packages/dispatch/tests/workerChoice.test.ts
+++ b/packages/dispatch/tests/workerChoice.test.ts
@@ -102,6 +102,7 @@
         onEnd: () => undefined,
         onFound: () => undefined,
         onStandstill: () => undefined,
+        onCrash: () => undefined,
         onChange: () => undefined,
     });
 
--- a/stand-ins/src/LeasedWorker.ts
+++ b/stand-ins/src/LeasedWorker.ts
@@ -71,6 +71,7 @@
     stallAfterMs: Milliseconds = Infinity;
     /** Rate of the worker's clock relative to the given one. */
     clockRate = 1;
+    private isDown = false;
     private readonly runs = new Map<TaskName, LeasedRun>();
     private readonly lastRuns = new Map<TaskName, number>();
     private completions: ListedCompletion[] = [];
@@ -102,9 +103,19 @@
         return this.completions.length;
     }
 
-    /** Crashes and restarts under the same id and address. */
+    /** Crashes, refuses connections for `downMs`, and restarts under the same id and address. */
+    crash(downMs: Milliseconds): void {
+        this.isDown = true;
+        this.endAllRuns();
+        this.options.timers.after(downMs, () => {
+            this.isDown = false;
+            this.restart();
+        });
+    }
+
+    /** Crashes and restarts at once under the same id and address. */
     restart(): void {
-        [...this.runs.values()].forEach(run => this.completeRun(run, "lapsed"));
+        this.endAllRuns();
         this.incarnation += 1;
         this.completions = [];
         this.nextCompletion = 1;
@@ -114,13 +125,25 @@
 
     connect(): WorkerDriver {
         return {
-            start: order => this.start(order),
-            stop: (task, run, fencingToken) => this.stop(task, run, fencingToken),
-            watch: order => this.watch(order),
+            start: async order => await this.refuseWhileDown() ?? await this.start(order),
+            stop: async (task, run, fencingToken) => !this.isDown && await this.stop(task, run, fencingToken),
+            watch: async order => await this.refuseWhileDown() ?? await this.watch(order),
             close: () => undefined,
         };
     }
 
+    private async refuseWhileDown() {
+        if (!this.isDown) {
+            return undefined;
+        }
+        await this.wait(exchangeLatencyMs);
+        return { kind: "unanswered", reason: "connection refused", isRefused: true } as const;
+    }
+
+    private endAllRuns(): void {
+        [...this.runs.values()].forEach(run => this.completeRun(run, "lapsed"));
+    }
+
     private now(): Milliseconds {
         return this.options.clock.now() * this.clockRate;
     }
@@ -226,7 +249,10 @@
         if (this.listLatencyMs > 0) {
             await this.wait(this.listLatencyMs);
         }
-        return this.isUnreachable ? { kind: "unanswered", reason: "no answer in time" } : { kind: "listed", list };
+        if (this.isUnreachable || this.isDown) {
+            return { kind: "unanswered", reason: this.isDown ? "connection closed" : "no answer in time" };
+        }
+        return { kind: "listed", list };
     }
 
     private getList(): RunList {
@@ -253,7 +279,7 @@
 
     private checkLease(): void {
         if (this.now() > this.leaseUntil) {
-            [...this.runs.values()].forEach(run => this.completeRun(run, "lapsed"));
+            this.endAllRuns();
         }
     }
 
