Dispatch: a job is not failed for good while the room that it needs has shrunk

Cause: whether a job can ever run here was judged by the rooms announced last; a job that came while every room was too small for one of its tasks was answered with failed, which also stands for its resubmissions. Change: judged by the most that each incarnation of a worker announced.

--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -132,7 +132,7 @@
     private isTooLarge(service: string, task: Resources): boolean {
         let isServed = false;
         for (const session of this.index.getAll(service)) {
-            if (fits(session.announcement.room, task)) {
+            if (fits(session.largestRoom, task)) {
                 return false;
             }
             isServed = true;
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -22,7 +22,7 @@
 import { ListReader } from "./ListReader";
 import { newRun, RunTable } from "./RunTable";
 import type { Run, RunOutcome } from "./RunTable";
-import { fits, subtractResources } from "./types";
+import { fits, getLargerResources, subtractResources } from "./types";
 import type { Resources, RunList, StartAnswer, TaskName, TaskRequest, WorkerAnnouncement, WorkerId } from "./types";
 import { WorkerPause } from "./WorkerPause";
 import type { WorkerSessionOptions } from "./workerSessionOptions";
@@ -30,6 +30,8 @@
 
 export class WorkerSession {
     private announced: WorkerAnnouncement;
+    /** The most of each resource that this incarnation of the worker announced; its room may shrink for a while. */
+    private largestAnnouncedRoom: Resources;
     private readonly runs = new RunTable(() => this.updateFree());
     private freeResources: Resources;
     private readonly lists: ListReader;
@@ -46,6 +48,7 @@
 
     constructor(private readonly options: WorkerSessionOptions) {
         this.announced = options.announcement;
+        this.largestAnnouncedRoom = options.announcement.room;
         this.freeResources = options.announcement.room;
         this.workerTime = new WorkerTime(options.clock);
         this.paused = new WorkerPause(options.clock);
@@ -78,6 +81,10 @@
             && !this.paused.isActive && !this.runs.hasUnknownRuns();
     }
 
+    get largestRoom(): Resources {
+        return this.largestAnnouncedRoom;
+    }
+
     get free(): Resources {
         return this.freeResources;
     }
@@ -93,6 +100,10 @@
     }
 
     update(announcement: WorkerAnnouncement): void {
+        const isSameIncarnation = announcement.incarnation === this.announced.incarnation;
+        this.largestAnnouncedRoom = isSameIncarnation
+            ? getLargerResources(this.largestAnnouncedRoom, announcement.room)
+            : announcement.room;
         this.announced = announcement;
         this.updateFree();
     }
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -193,6 +193,13 @@
     accelerators: left.accelerators - right.accelerators,
 });
 
+/** The larger amount of each resource. */
+export const getLargerResources = (left: Resources, right: Resources): Resources => ({
+    millicores: Math.max(left.millicores, right.millicores),
+    memoryMebibytes: Math.max(left.memoryMebibytes, right.memoryMebibytes),
+    accelerators: Math.max(left.accelerators, right.accelerators),
+});
+
 export const fits = (free: Resources, needed: Resources): boolean =>
     free.millicores >= needed.millicores
     && free.memoryMebibytes >= needed.memoryMebibytes
