Control: a replica whose disk is full stays when it hears of a later term

Report on full disks: what callers would see is a control instance that ends by itself, again and again, while its disk is full. Cause: a reply with a later term to a request for votes wrote the term without handling a failed write; the rejected promise ended the process, which came back and asked for votes again. Change: the failure is logged and the next message tries again, as after the loss of a leadership.

--- a/packages/common/src/MemoryFiles.ts
+++ b/packages/common/src/MemoryFiles.ts
@@ -20,7 +20,7 @@
     private durableNames = new Map<string, MemoryFile>();
     /** Incremented by each crash or erasure; handles opened in an earlier incarnation fail. */
     private incarnation = 0;
-    /** Set to make every write fail, as a full disk does. */
+    /** Set to make every change of a file fail, as a full disk does; a failed write leaves half of its bytes. */
     writeFailure: Error | undefined;
     /** Injected fault: when set, syncing and replacing files make nothing durable. */
     ignoresSync = false;
@@ -51,11 +51,17 @@
     readonly openForAppend = async (name: string, length: number): Promise<AppendFile> => {
         const incarnation = this.incarnation;
         const file = this.entries.get(name) ?? { content: new Uint8Array(), syncedLength: 0 };
+        if (!this.entries.has(name) || length < file.content.length) {
+            this.checkWritable(incarnation);
+        }
         file.content = file.content.slice(0, length);
         file.syncedLength = Math.min(file.syncedLength, length);
         this.entries.set(name, file);
         return {
             write: async bytes => {
+                if (this.writeFailure && incarnation === this.incarnation) {
+                    file.content = concatenate(file.content, bytes.slice(0, bytes.length / 2));
+                }
                 this.checkWritable(incarnation);
                 file.content = concatenate(file.content, bytes);
             },
--- a/packages/control/src/Replica.ts
+++ b/packages/control/src/Replica.ts
@@ -247,7 +247,7 @@
         return collectVotes(
             { memberId: this.memberId, group: this.group, term, preVote, lastIndex, lastTerm },
             this.environment,
-            laterTerm => void this.mutex.run(() => this.enterTerm(laterTerm)),
+            laterTerm => this.adoptTerm(laterTerm),
         );
     }
 
@@ -274,7 +274,7 @@
             this.electionTimerResetAt = this.environment.clock.now();
         }
         if (term > this.term) {
-            void this.mutex.run(() => this.enterTerm(term)).catch(error => this.logFailure("term not saved", error));
+            this.adoptTerm(term);
         }
     }
 
@@ -304,6 +304,11 @@
         return request.lastTerm > lastTerm || (request.lastTerm === lastTerm && request.lastIndex >= lastIndex);
     }
 
+    /** Adopts a later term that a reply named; without room on the disk the next message tries again. */
+    private adoptTerm(term: bigint): void {
+        this.mutex.run(() => this.enterTerm(term)).catch(error => this.logFailure("term not saved", error));
+    }
+
     /** Adopts a later term as a follower that has not voted in it. */
     private async enterTerm(term: bigint): Promise<void> {
         if (term <= this.term) {
--- a/packages/control/src/findCandidates.ts
+++ b/packages/control/src/findCandidates.ts
@@ -29,8 +29,9 @@
         ...announced.filter(replica => !isMember(replica.memberId)).map(replica => replica.address),
         ...unreachable.map(member => toAddress(member.address)),
     ]);
+    const identify = async (address: Address) => connect(address).identify({}, { timeoutMs: identifyTimeoutMs });
     const found = await Promise.all([...addresses].map(async address => {
-        const reply = await connect(address).identify({}, { timeoutMs: identifyTimeoutMs }).catch(() => undefined);
+        const reply = await identify(address).catch(() => undefined);
         return reply && !isMember(reply.memberId) ? [{ memberId: reply.memberId, address }] : [];
     }));
     return found.flat();
--- a/packages/control/tests/ReplicaGroup.ts
+++ b/packages/control/tests/ReplicaGroup.ts
@@ -49,6 +49,8 @@
     private readonly applied = new Map<bigint, string>();
     /** Keys whose claim was reported as granted, with the holder. */
     readonly granted = new Map<string, string>();
+    /** Messages that replicas logged as warnings. */
+    readonly warnings: string[] = [];
     /** Violated invariants. */
     readonly violations: string[] = [];
     private nextKey = 0;
@@ -90,7 +92,7 @@
             clock: this.time,
             timers: this.time,
             random: this.random,
-            logger: newSilentLogger(),
+            logger: { ...newSilentLogger(), warn: message => this.warnings.push(message) },
             rules: this.getRules(),
             maximumEntriesPerAppend: 1 + this.random.integer(3),
             earlyCampaigns: this.earlyCampaigns,
