Control: a log file whose close failed on a full disk is opened again

Cause: after a failed write the log's file is closed so that the next write opens and truncates it; when the close failed, too (quotas and network disks report missing space there), the closed file was kept and every later write failed. Evidence: storage.test.ts (failed before); a second test: a file that cannot be opened is reported as write-failed like one that cannot be written. Change: the file is forgotten before it is closed.

--- a/packages/control/src/EntryLog.ts
+++ b/packages/control/src/EntryLog.ts
@@ -133,8 +133,9 @@
         const last = added.at(-1)!;
         const batch = create(AppendRequestSchema, { entries: added });
         const frame = encodeFrame(toBinary(AppendRequestSchema, batch));
-        const segment = await this.getWritableSegment();
+        let segment: Segment;
         try {
+            segment = await this.getWritableSegment();
             await this.file!.write(frame);
             await this.file!.sync();
         }
@@ -203,9 +204,11 @@
         return segment;
     }
 
+    /** A file whose close fails is closed all the same. */
     private async closeFile(): Promise<void> {
-        await this.file?.close();
+        const { file } = this;
         this.file = undefined;
+        await file?.close();
     }
 
     private async readSegment(name: string, isLast: boolean): Promise<void> {
--- a/packages/control/tests/storage.test.ts
+++ b/packages/control/tests/storage.test.ts
@@ -113,6 +113,48 @@
         expect((await ReplicaStorage.open(files, "node")).log.lastIndex).toBe(6n);
     });
 
+    test("a file whose close failed on a full disk is written to for ever", async () => {
+        const files = new MemoryFiles();
+        /** Handles that reject their close while the disk is full, and fail afterwards, as closed ones do. */
+        const openForAppend: Files["openForAppend"] = async (name, length) => {
+            const file = await files.openForAppend(name, length);
+            let isClosed = false;
+            return {
+                write: async bytes => {
+                    if (isClosed) {
+                        throw new Error("file closed");
+                    }
+                    await file.write(bytes);
+                },
+                sync: file.sync,
+                close: async () => {
+                    isClosed = true;
+                    if (files.writeFailure) {
+                        throw files.writeFailure;
+                    }
+                },
+            };
+        };
+        const { list, read, replace, remove, syncFolder } = files;
+        const storage = await ReplicaStorage.open({ list, read, replace, remove, syncFolder, openForAppend }, "node");
+        await write(storage, newEntries(1, 5, 1n));
+        files.writeFailure = new Error("no space left on device");
+        await expect(write(storage, newEntries(6, 6, 1n))).rejects.toThrow("the log cannot be written");
+        files.writeFailure = undefined;
+        await storage.log.persist();
+        expect((await ReplicaStorage.open(files, "node")).log.lastIndex).toBe(6n);
+    });
+
+    test("a file that cannot be opened on a full disk fails with an error of another layer", async () => {
+        const files = new MemoryFiles();
+        const storage = await ReplicaStorage.open(files, "node");
+        await write(storage, newEntries(1, 5, 1n));
+        files.writeFailure = new Error("no space left on device");
+        for (let attempt = 0; attempt < 2; attempt++) {
+            await expect(write(storage, newEntries(6, 6, 1n))).rejects.toMatchObject({ code: "write-failed" });
+        }
+    });
+
     test("every crash preserves the acknowledged entries", async () => {
         const random = newRandom(5);
         const files = new MemoryFiles();
