Files: a file that cannot be truncated is closed

Report on full disks: an instance would run out of descriptors after many refused writes. Cause: opening for append opens, then truncates; when the truncation failed the descriptor stayed open, once for each try, four a second and follower. Evidence: folderFiles.test.ts, a device that refuses to be truncated: 20 descriptors after 20 tries (failed before), none now.

--- a/packages/common/src/Files.ts
+++ b/packages/common/src/Files.ts
@@ -39,7 +39,13 @@
     };
     const openForAppend = async (name: string, length: number): Promise<AppendFile> => {
         const handle = await open(join(folder, name), "a");
-        await handle.truncate(length);
+        try {
+            await handle.truncate(length);
+        }
+        catch (error) {
+            await handle.close();
+            throw error;
+        }
         return {
             write: async bytes => {
                 await handle.appendFile(bytes);
