--- a/packages/control/src/EntryLog.ts
+++ b/packages/control/src/EntryLog.ts
@@ -94,6 +94,17 @@
         return result;
     }
 
+    /** The index before the entries up to `last`, at most so many and of such a size in all. */
+    getIndexBefore(last: bigint, maximumCount: number, maximumBytes: number): bigint {
+        let index = last;
+        let bytes = this.getEntry(index)?.command.length ?? 0;
+        while (index > this.baseIndex && last - index < BigInt(maximumCount) && bytes <= maximumBytes) {
+            index -= 1n;
+            bytes += this.getEntry(index)?.command.length ?? 0;
+        }
+        return index;
+    }
+
     /** Index that the leader should send next if the previous entry is missing or differs; undefined if it matches. */
     findConflict(previousIndex: bigint, previousTerm: bigint): bigint | undefined {
         if (previousIndex < this.baseIndex) {
--- a/packages/control/src/ReplicaLog.ts
+++ b/packages/control/src/ReplicaLog.ts
@@ -3,7 +3,12 @@
 import type { Command, CommandResult, ControlSnapshot, GroupConfiguration, LogEntry } from "@anvilmux/protocol";
 import { CommandSchema, ControlSnapshotSchema, GroupConfigurationSchema } from "@anvilmux/protocol";
 import { create, fromBinary } from "@bufbuild/protobuf";
-import { entriesBetweenSnapshots, entriesKeptOnCompaction } from "./constants";
+import {
+    bytesBetweenSnapshots,
+    bytesKeptOnCompaction,
+    entriesBetweenSnapshots,
+    entriesKeptOnCompaction,
+} from "./constants";
 import type { ControlState } from "./ControlState";
 import { ControlError } from "./errors";
 import type { ReplicaStorage } from "./ReplicaStorage";
@@ -20,6 +25,8 @@
     private groupVersions: GroupVersion[] = [];
     private committed: bigint;
     private applied: bigint;
+    /** Size of the commands applied since the last snapshot. */
+    private appliedBytes = 0;
 
     constructor(private readonly storage: ReplicaStorage, private readonly state: ControlState) {
         const { snapshot } = storage;
@@ -76,16 +83,18 @@
             const entry = this.storage.log.getEntry(this.applied + 1n)!;
             const result = this.state.apply(decodeCommand(entry), entry.index);
             this.applied = entry.index;
+            this.appliedBytes += entry.command.length;
             onApplied(entry, result);
         }
     }
 
-    /** True when `entriesBetweenSnapshots` entries were applied since the last snapshot. */
+    /** True when so many entries, or entries of such a size, were applied since the last snapshot. */
     needsSnapshot(): boolean {
-        return this.applied - (this.storage.snapshot?.lastIndex ?? 0n) >= BigInt(entriesBetweenSnapshots);
+        return this.appliedBytes >= bytesBetweenSnapshots
+            || this.applied - (this.storage.snapshot?.lastIndex ?? 0n) >= BigInt(entriesBetweenSnapshots);
     }
 
-    /** Saves a snapshot of the applied state and drops the entries it covers except for the last `keptEntries`. */
+    /** Saves a snapshot of the applied state and drops the entries it covers except for at most the last `keptEntries`. */
     async takeSnapshot(keptEntries = entriesKeptOnCompaction): Promise<void> {
         const lastIndex = this.applied;
         const covered = this.groupVersions.filter(version => version.index <= lastIndex);
@@ -96,7 +105,8 @@
             group: covered.at(-1)?.group,
         });
         await this.storage.saveSnapshot(snapshot);
-        await this.storage.log.compact(lastIndex - BigInt(keptEntries));
+        this.appliedBytes = 0;
+        await this.storage.log.compact(this.storage.log.getIndexBefore(lastIndex, keptEntries, bytesKeptOnCompaction));
     }
 
     /** Replaces log and state by a snapshot sent by the leader or of a newly formed group. */
@@ -106,6 +116,7 @@
         this.state.restore(snapshot);
         this.applied = snapshot.lastIndex;
         this.committed = snapshot.lastIndex;
+        this.appliedBytes = 0;
         this.groupVersions = [];
         this.recordGroup(snapshot.lastIndex, snapshot.group);
     }
--- a/packages/control/src/constants.ts
+++ b/packages/control/src/constants.ts
@@ -13,8 +13,12 @@
 export const snapshotChunkBytes = 262_144;
 /** Entries after which a snapshot is taken. */
 export const entriesBetweenSnapshots = 20_000;
+/** Size of the entries after which a snapshot is taken, however few they are. */
+export const bytesBetweenSnapshots = 16 * 1_048_576;
 /** Entries up to the end of a snapshot that compaction keeps, so that a replica slightly behind needs no snapshot. */
 export const entriesKeptOnCompaction = 2_000;
+/** Size of the entries that compaction keeps at most. */
+export const bytesKeptOnCompaction = 1_048_576;
 /** Size at which the log continues in a new segment file. */
 export const segmentBytes = 8 * 1_048_576;
 /** Committed entries that a learner may lack when it is promoted to voter. */
