--- a/packages/dispatch/src/CrashSuspects.ts
+++ b/packages/dispatch/src/CrashSuspects.ts
@@ -3,54 +3,41 @@
  * those that were suspected before. Suspicion outlives the job, as its caller may submit it again.
  */
 
-import type { Clock, Milliseconds } from "@anvilmux/common";
+import type { Clock } from "@anvilmux/common";
 import { crashesToGiveUp, maximumSuspects, suspicionRetentionMs } from "./constants";
+import { RecentMap } from "./RecentMap";
 import type { TaskName } from "./types";
 
-interface Suspicion {
-    readonly crashes: number;
-    readonly crashedAt: Milliseconds;
-}
-
 export class CrashSuspects {
-    /** In order of the latest crash, so that the oldest are removed first. */
-    private readonly suspicions = new Map<TaskName, Suspicion>();
+    /** Number of workers that crashed under a task. */
+    private readonly crashes: RecentMap<TaskName, number>;
 
-    constructor(private readonly clock: Clock) {}
+    constructor(clock: Clock) {
+        this.crashes = new RecentMap(clock, suspicionRetentionMs, maximumSuspects);
+    }
 
     recordCrash(running: readonly TaskName[]): void {
         const suspects = running.filter(task => this.isSuspect(task));
-        (suspects.length > 0 ? suspects : running).forEach(task => this.suspect(task));
-        this.removeOld();
+        for (const task of suspects.length > 0 ? suspects : running) {
+            this.crashes.set(task, this.count(task) + 1);
+        }
     }
 
     isSuspect(task: TaskName): boolean {
-        return this.suspicions.has(task);
+        return this.count(task) > 0;
     }
 
     /** True once so many workers crashed under the task that it is not started again. */
     isGivenUp(task: TaskName): boolean {
-        return (this.suspicions.get(task)?.crashes ?? 0) >= crashesToGiveUp;
+        return this.count(task) >= crashesToGiveUp;
     }
 
     /** Ends the suspicion of a task that ran to its end. */
     clear(task: TaskName): void {
-        this.suspicions.delete(task);
+        this.crashes.delete(task);
     }
 
-    private suspect(task: TaskName): void {
-        const crashes = (this.suspicions.get(task)?.crashes ?? 0) + 1;
-        this.suspicions.delete(task);
-        this.suspicions.set(task, { crashes, crashedAt: this.clock.now() });
-    }
-
-    private removeOld(): void {
-        const oldest = this.clock.now() - suspicionRetentionMs;
-        for (const [task, { crashedAt }] of this.suspicions) {
-            if (crashedAt >= oldest && this.suspicions.size <= maximumSuspects) {
-                return;
-            }
-            this.suspicions.delete(task);
-        }
+    private count(task: TaskName): number {
+        return this.crashes.get(task) ?? 0;
     }
 }
--- a/packages/dispatch/src/TaskPlacer.ts
+++ b/packages/dispatch/src/TaskPlacer.ts
@@ -38,6 +38,15 @@
         return true;
     }
 
+    /** True for a waiting task that may run in another zone; a suspected one must not crash workers there, too. */
+    maySpill({ state, request }: ScheduledTask): boolean {
+        return state === "waiting" && !this.liveRuns.has(request.name) && !this.suspects.isSuspect(request.name);
+    }
+
+    hasLiveRuns(job: ScheduledJob): boolean {
+        return job.tasks.some(task => this.liveRuns.has(task.request.name));
+    }
+
     /** A suspected task runs alone where it can, so that a crash harms no other and shows whether it is the cause. */
     private getAvoided(job: ScheduledJob, { request, avoided }: ScheduledTask): readonly WorkerSession[] {
         return this.suspects.isSuspect(request.name)
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -5,14 +5,21 @@
  */
 
 import type { JobId, Milliseconds, Unsubscribe } from "@anvilmux/common";
-import { maximumPassedOver, orphanGraceMs, schedulerTickMs, spilledGraceMs } from "./constants";
+import {
+    endedJobRetentionMs,
+    maximumEndedJobs,
+    maximumPassedOver,
+    orphanGraceMs,
+    schedulerTickMs,
+    spilledGraceMs,
+} from "./constants";
 import { CrashSuspects } from "./CrashSuspects";
-import { EndedJobs } from "./EndedJobs";
 import { JobTable } from "./JobTable";
 import { cannotMeetDeadline, mayHaveUnseenRuns, newAbortAnswer } from "./jobTimeouts";
 import type { SchedulerView } from "./jobTimeouts";
 import { OwnedWorkers } from "./OwnedWorkers";
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
+import { RecentMap } from "./RecentMap";
 import { newGivenUpAnswer, RunCompletionHandler } from "./RunCompletionHandler";
 import type { Run, RunOutcome } from "./RunTable";
 import { applyResubmission, getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
@@ -34,7 +41,8 @@
     /** The worker on which a task runs or may still run. */
     private readonly liveRuns = new Map<TaskName, WorkerSession>();
     private readonly jobs = new JobTable();
-    private readonly endedJobs: EndedJobs;
+    /** Answers of ended jobs, for callers that resubmit a job because its answer was lost. */
+    private readonly endedJobs: RecentMap<JobId, JobAnswer>;
     private readonly spiller: TaskSpiller;
     private readonly completionHandler: RunCompletionHandler;
     private readonly suspects: CrashSuspects;
@@ -48,7 +56,7 @@
 
     constructor(private readonly options: TaskSchedulerOptions) {
         this.ownsSince = options.clock.now();
-        this.endedJobs = new EndedJobs(options.clock);
+        this.endedJobs = new RecentMap(options.clock, endedJobRetentionMs, maximumEndedJobs);
         this.suspects = new CrashSuspects(options.clock);
         const events: TaskEvents = {
             onDone: (job, task) => this.markTaskDone(job, task),
@@ -263,7 +271,7 @@
             this.jobs.prune(job);
         }
         this.jobs.getWaitingFromOtherZones()
-            .filter(job => job.started === 0 && !this.hasLiveRuns(job))
+            .filter(job => job.started === 0 && !this.placer.hasLiveRuns(job))
             .forEach(job => this.abortJob(job));
     }
 
@@ -282,14 +290,10 @@
 
     private spill(job: ScheduledJob, view: SchedulerView): void {
         if (!job.request.spilled && !this.transferring && !mayHaveUnseenRuns(job, view)) {
-            this.spiller.spill(job, job.tasks.filter(task => this.maySpill(task)));
+            this.spiller.spill(job, job.tasks.filter(task => this.placer.maySpill(task)));
         }
     }
 
-    private maySpill({ state, request }: ScheduledTask): boolean {
-        return state === "waiting" && !this.liveRuns.has(request.name) && !this.suspects.isSuspect(request.name);
-    }
-
     private handleFoundRun(session: WorkerSession, run: Run): void {
         this.liveRuns.set(run.task, session);
         const owner = this.jobs.findTask(run.task);
@@ -344,7 +348,7 @@
             return;
         }
         if (!job.request.spilled && (answer.kind === "completed" || answer.kind === "failed")) {
-            this.endedJobs.add(job.request.id, answer);
+            this.endedJobs.set(job.request.id, answer);
         }
         this.answer(job, answer);
         this.close(job, answer.kind);
@@ -382,11 +386,7 @@
             ...this.workers.describeCapacity(job.request.service),
             otherZones: this.spiller.describeCapacity(job.request.service),
         });
-        this.finish(job, newAbortAnswer(job, this.hasLiveRuns(job)));
-    }
-
-    private hasLiveRuns(job: ScheduledJob): boolean {
-        return job.tasks.some(task => this.liveRuns.has(task.request.name));
+        this.finish(job, newAbortAnswer(job, this.placer.hasLiveRuns(job)));
     }
 
     /** The state at the start of a pass over the jobs; the workers are looked at once, when a job depends on them. */
