--- a/packages/control/tests/RepairedGroup.ts
+++ b/packages/control/tests/RepairedGroup.ts
@@ -2,7 +2,7 @@
 
 import type { Address } from "@anvilmux/common";
 import { toAddress } from "@anvilmux/common";
-import { ControlService } from "@anvilmux/control";
+import { ControlService, maximumEntriesPerAppend } from "@anvilmux/control";
 import type { Replica } from "@anvilmux/control";
 import { newSignedAuthority } from "@anvilmux/manifest";
 import { IdentifyReplySchema } from "@anvilmux/protocol";
@@ -18,6 +18,11 @@
     /** Member ids that are announced in place of the present ones, by node. */
     readonly announcedIds = new Map<number, string>();
 
+    /** As in a deployment, since the time to catch up is bounded. */
+    protected override pickMaximumEntries(): number {
+        return maximumEntriesPerAppend;
+    }
+
     protected override startReplica(node: Node, replica: Replica): void {
         const service = new ControlService({
             replica,
