Routing: a request under which two upstreams broke off is not sent to a third

Cause: a repeatable call whose exchange broke off was sent again like one that was declined, up to four times. Evidence: CallHandler.test.ts (failed before: answered by the third upstream). Change: the second exchange that breaks off ends the call, with the outcome unknown as before; refused connections, declined requests and failures that the upstream answers are retried as before.

--- a/packages/routing/src/CallHandler.ts
+++ b/packages/routing/src/CallHandler.ts
@@ -9,7 +9,7 @@
 import type { DecisionLog, Metrics, TraceSpan } from "@anvilmux/telemetry";
 import { decodeRecordedAnswer, encodeRecordedAnswer } from "./claims";
 import type { CallAnswer, ClaimStore } from "./claims";
-import { maximumAttempts, maximumRecordedAnswerBytes } from "./constants";
+import { brokenExchangesToGiveUp, maximumAttempts, maximumRecordedAnswerBytes } from "./constants";
 import { toCallerHeaders } from "./forwardedHeaders";
 import {
     deadlineHeader,
@@ -167,12 +167,14 @@
     private async handleUnclaimed(call: Call, signal: AbortSignal): Promise<AttemptResult> {
         const excluded: string[] = [];
         let earlier: AttemptResult | undefined;
+        let brokenExchanges = 0;
         for (let attempt = 1;; attempt++) {
             const result = await this.attempt(call, excluded, signal);
+            brokenExchanges += result.outcome === "unknown" ? 1 : 0;
             const reported = result.outcome === "not-run" && earlier ? earlier : result;
             if (
-                !result.retryable || attempt >= maximumAttempts || signal.aborted
-                || !this.getBudget(call.service).tryWithdraw()
+                !result.retryable || attempt >= maximumAttempts || brokenExchanges >= brokenExchangesToGiveUp
+                || signal.aborted || !this.getBudget(call.service).tryWithdraw()
             ) {
                 return reported;
             }
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -47,6 +47,8 @@
 /** Initial and maximum balance of a retry budget. */
 export const maximumRetryBalance = 50;
 export const maximumAttempts = 4;
+/** Upstreams that break off an exchange of one request before it is given up, as the request may be the cause. */
+export const brokenExchangesToGiveUp = 2;
 /** Time allowed for opening a connection to an upstream. */
 export const connectTimeoutMs = 500;
 /** Maximum answer size of a keyed request, since the answer is replicated; a larger one has the outcome unknown. */
--- a/packages/routing/tests/CallHandler.test.ts
+++ b/packages/routing/tests/CallHandler.test.ts
@@ -189,6 +189,14 @@
         expect(await send(slots, { kind: repeatable })).toMatchObject({ status: 200, outcome: "answered" });
     });
 
+    test("a request under which two upstreams broke off is sent to a third one", async () => {
+        const cutting = await Promise.all([startUpstream("cuts-answer"), startUpstream("cuts-answer")]);
+        const other = await startUpstream("normal");
+        const slots = newSlots([...cutting, other].map(upstream => upstream.getAddress()));
+        expect(await send(slots, { kind: repeatable })).toMatchObject({ status: 502, outcome: "unknown" });
+        expect([...cutting, other].map(upstream => upstream.startCount)).toEqual([1, 1, 0]);
+    });
+
     test("a refusal after an attempt that may have run is not reported as not-run", async () => {
         const cutting = await startUpstream("closes-stale");
         const result = await send(newSlots([cutting.getAddress()]), { kind: repeatable });
