Telemetry: size, delay and cost of a configuration, and copies received in vain

'configuration applied' names bytes and tookMs; 'configuration received' names the control instance, the time since the announcement and whether it was newer. One line each for each configuration.

--- a/packages/control/src/ConfigurationHolder.ts
+++ b/packages/control/src/ConfigurationHolder.ts
@@ -79,6 +79,7 @@
         if (Number(index) <= this.index) {
             return false;
         }
+        const startedAt = performance.now();
         try {
             const { manifest, digest } = this.options.authority.verify(Buffer.from(envelope).toString());
             this.current = newConfiguration(Number(index), digest, manifest, envelope);
@@ -93,6 +94,8 @@
         this.options.logger.info("configuration applied", {
             index: Number(index),
             version: this.current.manifest.version,
+            bytes: envelope.length,
+            tookMs: Math.round(performance.now() - startedAt),
         });
         void this.events.emit("inForce", { index: Number(index) });
         return true;
--- a/packages/fleet/src/ControlLinks.ts
+++ b/packages/fleet/src/ControlLinks.ts
@@ -3,7 +3,7 @@
  * owners of all zones and configurations.
  */
 
-import type { Address } from "@anvilmux/common";
+import type { Address, Milliseconds } from "@anvilmux/common";
 import type { WorkerAnnouncement } from "@anvilmux/dispatch";
 import { Link } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment } from "@anvilmux/links";
@@ -35,6 +35,7 @@
     /** Control instances that sent the members of the zone on their current connection. */
     private readonly membersReportedBy = new Set<Address>();
     private fetchingIndex: number | undefined;
+    private fetchingSince: Milliseconds = 0;
 
     constructor(private readonly options: ControlLinksOptions) {
         this.addAddresses(options.seeds);
@@ -109,10 +110,21 @@
                 this.fetchConfiguration(link, message.index);
                 return;
             case "configuration":
+                this.logReceived(link, message.index);
                 this.options.onConfiguration(message.index, message.envelope);
         }
     }
 
+    private logReceived(link: ControlLink, index: number): void {
+        const { clock, logger } = this.options.environment;
+        logger.info("configuration received", {
+            control: link.address,
+            index,
+            sinceNoticeMs: Math.round(clock.now() - this.fetchingSince),
+            isNewer: index > this.options.getConfigurationIndex(),
+        });
+    }
+
     /** Requests a newer configuration, from a second control instance when the first does not reply in time. */
     private fetchConfiguration(link: ControlLink, index: number): void {
         const knownIndex = this.options.getConfigurationIndex();
@@ -128,6 +140,7 @@
             return;
         }
         this.fetchingIndex = index;
+        this.fetchingSince = this.options.environment.clock.now();
         this.requestConfiguration(link);
     }
 
