Fleet: an entry fetches one copy of a configuration at a time

Second cause: what had not arrived 300 ms after its announcement was requested from each other control instance as well, also while it was on its way. Change: one request at a time, from the control instance that announced the configuration first; another one is asked at once when the connection closes, after 400 ms without any data on it, or after 1.5 s without the configuration. What arrived during a stall of this process is read before that is judged. A configuration that is refused here is not requested again from the same instance. Ruled out: a longer time alone, which a frozen control instance would cost whole.

--- /dev/null
+++ b/packages/fleet/src/ConfigurationFetch.ts
@@ -0,0 +1,111 @@
+/**
+ * Fetches newer configurations from control instances: one copy at a time, from the instance that announced it first. A
+ * large configuration takes a while to arrive; another instance is asked only when the first one disconnects or stalls.
+ */
+
+import type { Address, Clock, Milliseconds, Timers } from "@anvilmux/common";
+
+export interface ConfigurationFetchOptions {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    /** Index of the active configuration. */
+    readonly getIndex: () => number;
+    readonly request: (control: Address) => void;
+    /** When anything was last received from a connected control instance. */
+    readonly getLastReceivedAt: (control: Address) => Milliseconds | undefined;
+}
+
+/** Time without any data from the instance after which another one is asked; longer than the heartbeat period. */
+const silenceTimeoutMs = 400;
+/** Time after which another one is asked although the instance sends other data. */
+const transferTimeoutMs = 1_500;
+
+export class ConfigurationFetch {
+    /** Index that each control instance announced on its current connection, in the order in which they are asked. */
+    private readonly announced = new Map<Address, number>();
+    private source: Address | undefined;
+    private requestedAt: Milliseconds = 0;
+
+    constructor(private readonly options: ConfigurationFetchOptions) {}
+
+    handleNotice(control: Address, index: number): void {
+        this.announced.set(control, index);
+        this.requestNext();
+    }
+
+    /** Called once a configuration of that index was applied or refused. */
+    handleReceived(control: Address, index: number): void {
+        if (index > this.options.getIndex()) {
+            this.announced.delete(control);
+        }
+        if (control === this.source) {
+            this.source = undefined;
+        }
+        this.requestNext();
+    }
+
+    handleDisconnected(control: Address): void {
+        this.announced.delete(control);
+        if (control === this.source) {
+            this.source = undefined;
+        }
+        this.requestNext();
+    }
+
+    /** Time since the latest request. */
+    get elapsed(): Milliseconds {
+        return this.options.clock.now() - this.requestedAt;
+    }
+
+    private requestNext(): void {
+        const next = this.source === undefined ? this.findNewer() : undefined;
+        if (next !== undefined) {
+            this.requestFrom(next);
+        }
+    }
+
+    /** The first control instance with a newer configuration. */
+    private findNewer(except?: Address): Address | undefined {
+        const ownIndex = this.options.getIndex();
+        return [...this.announced].find(([control, index]) => index > ownIndex && control !== except)?.[0];
+    }
+
+    private requestFrom(control: Address): void {
+        this.source = control;
+        this.requestedAt = this.options.clock.now();
+        this.options.request(control);
+        this.checkLater(control, this.requestedAt);
+    }
+
+    private checkLater(source: Address, requestedAt: Milliseconds): void {
+        const isCurrent = () => source === this.source && requestedAt === this.requestedAt;
+        this.options.timers.after(silenceTimeoutMs, () => {
+            // After a stall of this process, what has arrived meanwhile is read first.
+            setImmediate(() => isCurrent() && this.checkSource(source, requestedAt));
+        });
+    }
+
+    private checkSource(source: Address, requestedAt: Milliseconds): void {
+        const other = this.isStalled(source, requestedAt) ? this.findNewer(source) : undefined;
+        if (other === undefined) {
+            this.checkLater(source, requestedAt);
+            return;
+        }
+        this.moveToEnd(source);
+        this.requestFrom(other);
+    }
+
+    private isStalled(source: Address, requestedAt: Milliseconds): boolean {
+        const now = this.options.clock.now();
+        const activeAt = Math.max(requestedAt, this.options.getLastReceivedAt(source) ?? requestedAt);
+        return now - activeAt >= silenceTimeoutMs || now - requestedAt >= transferTimeoutMs;
+    }
+
+    private moveToEnd(control: Address): void {
+        const index = this.announced.get(control);
+        this.announced.delete(control);
+        if (index !== undefined) {
+            this.announced.set(control, index);
+        }
+    }
+}
--- a/packages/fleet/src/ControlLinks.ts
+++ b/packages/fleet/src/ControlLinks.ts
@@ -3,10 +3,11 @@
  * owners of all zones and configurations.
  */
 
-import type { Address, Milliseconds } from "@anvilmux/common";
+import type { Address } from "@anvilmux/common";
 import type { WorkerAnnouncement } from "@anvilmux/dispatch";
 import { Link } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment } from "@anvilmux/links";
+import { ConfigurationFetch } from "./ConfigurationFetch";
 import type { EntryMember, FromControl, ToControl, ZoneOwner } from "./messages";
 
 export interface ControlLinksOptions {
@@ -26,18 +27,21 @@
 
 type ControlLink = Link<FromControl, ToControl>;
 
-/** Time after which a configuration requested from one control instance is requested from another as well. */
-const fetchTimeoutMs = 300;
-
 export class ControlLinks {
     private readonly links = new Map<Address, ControlLink>();
     private readonly owners = new Map<Address, readonly ZoneOwner[]>();
     /** Control instances that sent the members of the zone on their current connection. */
     private readonly membersReportedBy = new Set<Address>();
-    private fetchingIndex: number | undefined;
-    private fetchingSince: Milliseconds = 0;
+    private readonly fetch: ConfigurationFetch;
 
     constructor(private readonly options: ControlLinksOptions) {
+        const { environment, getConfigurationIndex } = options;
+        this.fetch = new ConfigurationFetch({
+            ...environment,
+            getIndex: getConfigurationIndex,
+            request: control => this.requestConfiguration(control),
+            getLastReceivedAt: control => this.links.get(control)?.lastReceivedAt,
+        });
         this.addAddresses(options.seeds);
     }
 
@@ -86,6 +90,7 @@
             onMessage: message => this.receive(link, message),
             onClose: reason => {
                 this.membersReportedBy.delete(address);
+                this.fetch.handleDisconnected(address);
                 environment.logger.warn("control instance disconnected", { control: address, reason });
             },
         });
@@ -107,44 +112,26 @@
                 this.options.onWorkers(message.workers);
                 return;
             case "configuration-notice":
-                this.fetchConfiguration(link, message.index);
+                this.fetch.handleNotice(link.address, message.index);
                 return;
             case "configuration":
                 this.logReceived(link, message.index);
                 this.options.onConfiguration(message.index, message.envelope);
+                this.fetch.handleReceived(link.address, message.index);
         }
     }
 
     private logReceived(link: ControlLink, index: number): void {
-        const { clock, logger } = this.options.environment;
-        logger.info("configuration received", {
+        this.options.environment.logger.info("configuration received", {
             control: link.address,
             index,
-            sinceNoticeMs: Math.round(clock.now() - this.fetchingSince),
+            sinceRequestMs: Math.round(this.fetch.elapsed),
             isNewer: index > this.options.getConfigurationIndex(),
         });
     }
 
-    /** Requests a newer configuration, from a second control instance when the first does not reply in time. */
-    private fetchConfiguration(link: ControlLink, index: number): void {
+    private requestConfiguration(control: Address): void {
         const knownIndex = this.options.getConfigurationIndex();
-        if (index <= knownIndex) {
-            return;
-        }
-        if (this.fetchingIndex !== undefined && index <= this.fetchingIndex) {
-            this.options.environment.timers.after(fetchTimeoutMs, () => {
-                if (this.options.getConfigurationIndex() < index) {
-                    this.requestConfiguration(link);
-                }
-            });
-            return;
-        }
-        this.fetchingIndex = index;
-        this.fetchingSince = this.options.environment.clock.now();
-        this.requestConfiguration(link);
-    }
-
-    private requestConfiguration(link: ControlLink): void {
-        link.send({ type: "fetch-configuration", knownIndex: this.options.getConfigurationIndex() });
+        this.links.get(control)?.send({ type: "fetch-configuration", knownIndex });
     }
 }
--- a/packages/links/src/Link.ts
+++ b/packages/links/src/Link.ts
@@ -35,6 +35,11 @@
         return this.channel?.isOpen ?? false;
     }
 
+    /** When anything was last received on the open connection; undefined without one. */
+    get lastReceivedAt(): Milliseconds | undefined {
+        return this.channel?.lastReceivedAt;
+    }
+
     /** Sends a message; false when the link is not open, in which case the message is dropped. */
     send(message: Outgoing): boolean {
         this.channel?.send(message);
