--- a/packages/fleet/src/ControlHub.ts
+++ b/packages/fleet/src/ControlHub.ts
@@ -5,8 +5,8 @@
 
 import type { Address, Unsubscribe } from "@anvilmux/common";
 import type { WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
-import { LinkServer } from "@anvilmux/links";
-import type { ChannelChecker, LinkEnvironment, Session } from "@anvilmux/links";
+import { encodeMessage, LinkServer } from "@anvilmux/links";
+import type { ChannelChecker, EncodedMessage, LinkEnvironment, Session } from "@anvilmux/links";
 import type { Metrics } from "@anvilmux/telemetry";
 import type { EntryMember, FromControl, ToControl } from "./messages";
 import { WorkerDirectory } from "./WorkerDirectory";
@@ -31,8 +31,14 @@
 /** Period of the checks for a changed list of control instances. */
 const addressCheckPeriodMs = 500;
 
+interface EncodedConfiguration {
+    readonly index: number;
+    readonly message: EncodedMessage<FromControl>;
+}
+
 interface ConnectedEntry {
     readonly send: (message: FromControl) => void;
+    readonly sendEncoded: (message: EncodedMessage<FromControl>) => void;
     member: EntryMember | undefined;
     claim: number;
 }
@@ -42,6 +48,8 @@
     private readonly workers = new WorkerDirectory();
     private server: LinkServer<ToControl, FromControl> | undefined;
     private announcedAddresses = "";
+    /** The configuration that was sent last, which most entries fetch at the same time. */
+    private encoded: EncodedConfiguration | undefined;
     private unsubscribe: Unsubscribe = () => undefined;
 
     constructor(private readonly options: ControlHubOptions) {
@@ -54,7 +62,7 @@
             host,
             port,
             checker,
-            accept: send => this.accept(send),
+            accept: (send, sendEncoded) => this.accept(send, sendEncoded),
         });
         this.unsubscribe = environment.timers.every(addressCheckPeriodMs, () => this.announceChangedAddresses());
     }
@@ -110,8 +118,11 @@
         }
     }
 
-    private accept(send: (message: FromControl) => void): Session<ToControl> {
-        const entry: ConnectedEntry = { send, member: undefined, claim: 0 };
+    private accept(
+        send: ConnectedEntry["send"],
+        sendEncoded: ConnectedEntry["sendEncoded"],
+    ): Session<ToControl> {
+        const entry: ConnectedEntry = { send, sendEncoded, member: undefined, claim: 0 };
         this.entries.add(entry);
         return {
             onMessage: message => this.receive(entry, message),
@@ -157,11 +168,15 @@
     }
 
     private sendConfiguration(entry: ConnectedEntry, knownIndex: number): void {
-        const { configuration } = this.options;
-        const index = configuration.getIndex();
-        if (index > knownIndex) {
-            entry.send({ type: "configuration", index, envelope: configuration.getEnvelope() });
+        const index = this.options.configuration.getIndex();
+        if (index <= knownIndex) {
+            return;
+        }
+        if (this.encoded?.index !== index) {
+            const envelope = this.options.configuration.getEnvelope();
+            this.encoded = { index, message: encodeMessage({ type: "configuration", index, envelope }) };
         }
+        entry.sendEncoded(this.encoded.message);
     }
 
     private announceOwners(): void {
--- a/packages/fleet/tests/ControlHub.test.ts
+++ b/packages/fleet/tests/ControlHub.test.ts
@@ -15,6 +15,7 @@
 
 class HubFixture {
     index = 3;
+    encodings = 0;
     addresses: readonly Address[] = [];
     readonly hub: ControlHub;
 
@@ -27,7 +28,13 @@
             checker,
             environment,
             metrics: new Metrics(),
-            configuration: { getIndex: () => this.index, getEnvelope: () => `configuration ${this.index}` },
+            configuration: {
+                getIndex: () => this.index,
+                getEnvelope: () => {
+                    this.encodings += 1;
+                    return `configuration ${this.index}`;
+                },
+            },
             getControlAddresses: () => this.addresses,
         });
         cleanups.push(() => checker.stop(), () => this.hub.stop());
@@ -123,6 +130,16 @@
         expect([...new Set(entry.configurations)]).toEqual(["configuration 3", "configuration 4"]);
     }, 30_000);
 
+    test("a configuration is encoded again for each entry that fetches it", async () => {
+        const control = await startHub();
+        const entries = ["a", "b", "c"].map(id => new EntryFixture(id, "z1", [toLoopback(control.port)]));
+        await waitUntil(() => entries.every(entry => entry.configurationIndex === 3));
+        control.index = 4;
+        control.hub.announceConfiguration();
+        await waitUntil(() => entries.every(entry => entry.configurationIndex === 4));
+        expect(control.encodings).toBe(2);
+    }, 30_000);
+
     test(
         "an entry connects to announced control instances, and has no reported members once all have disconnected",
         async () => {
--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -8,6 +8,8 @@
 import type { Socket } from "node:net";
 import { StringDecoder } from "node:string_decoder";
 import { heartbeatPeriodMs, heartbeatTimeoutMs, maximumLineCharacters, maximumUnsentBytes } from "./constants";
+import { encodeMessage } from "./encodeMessage";
+import type { EncodedMessage } from "./encodeMessage";
 import type { LinkMessage } from "./types";
 
 export interface ChannelListener<Incoming extends LinkMessage> {
@@ -48,7 +50,11 @@
 
     /** Sends a message; messages of one event loop turn are batched into one write. */
     send(message: Outgoing): void {
-        this.write(JSON.stringify(message) + "\n");
+        this.write(encodeMessage(message));
+    }
+
+    sendEncoded(message: EncodedMessage<Outgoing>): void {
+        this.write(message);
     }
 
     /** Sends a heartbeat when due; closes the channel when nothing was received within the heartbeat timeout. */
--- a/packages/links/src/LinkServer.ts
+++ b/packages/links/src/LinkServer.ts
@@ -6,6 +6,7 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { Channel } from "./Channel";
 import type { ChannelChecker } from "./ChannelChecker";
+import type { EncodedMessage } from "./encodeMessage";
 import type { LinkEnvironment, LinkMessage } from "./types";
 
 /** Handlers of one accepted connection. */
@@ -18,7 +19,10 @@
     readonly host: string;
     readonly port: number;
     readonly checker: ChannelChecker;
-    readonly accept: (send: (message: Outgoing) => void) => Session<Incoming>;
+    readonly accept: (
+        send: (message: Outgoing) => void,
+        sendEncoded: (message: EncodedMessage<Outgoing>) => void,
+    ) => Session<Incoming>;
 }
 
 export class LinkServer<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
@@ -67,6 +71,6 @@
         });
         this.channels.add(channel);
         this.options.checker.add(channel);
-        session = this.options.accept(message => channel.send(message));
+        session = this.options.accept(message => channel.send(message), message => channel.sendEncoded(message));
     }
 }
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./Channel";
 export * from "./ChannelChecker";
 export * from "./constants";
+export * from "./encodeMessage";
 export * from "./Link";
 export * from "./LinkServer";
 export * from "./types";
