Bench connected: the cost of an idle entry by the number of entries in its zone, and takeovers

What: entries and control hubs in separate processes, without jobs or workers, at 8, 20, 40 and 80 entries: processor time, bytes, connections and memory of an ordinary entry, of the owner and of control, and the time until all others agree on the next owner after the owner was stopped or killed. The processes of benches are started by one module now.

--- a/bench/src/dispatchDeployment.ts
+++ b/bench/src/dispatchDeployment.ts
@@ -4,10 +4,8 @@
 import type { Milliseconds } from "@anvilmux/common";
 import type { StandInCounts } from "@anvilmux/platform";
 import { newSilentLogger } from "@anvilmux/telemetry";
-import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
-import { once } from "node:events";
-import { resolve } from "node:path";
+import { receiveMessage, startProcess, stopProcess } from "./childProcesses";
 import { DispatchLoad, entryCount } from "./DispatchLoad";
 import type { JobRecord } from "./DispatchLoad";
 import type {
@@ -55,18 +53,22 @@
 const ownerOptions = process.env["DISPATCH_OWNER_OPTIONS"]?.split(" ") ?? [];
 
 export const playDispatch = async (run: DispatchRun): Promise<DispatchResult> => {
-    const workers = start("dispatch-workers", { count: run.workers } satisfies WorkersArguments, []);
-    const { addresses } = await receive<FromWorkers, "listening">(workers, "listening");
+    const workers = startProcess("dispatch-workers", { count: run.workers } satisfies WorkersArguments);
+    const { addresses } = await receiveMessage<FromWorkers, "listening">(workers, "listening");
     const relays = Array.from(
         { length: relayProcesses },
-        () => start("dispatch-relays", { count: Math.ceil(entryCount / relayProcesses) } satisfies RelaysArguments, []),
+        () =>
+            startProcess(
+                "dispatch-relays",
+                { count: Math.ceil(entryCount / relayProcesses) } satisfies RelaysArguments,
+            ),
     );
     const relayAddresses = await Promise.all(
-        relays.map(async child => (await receive<FromRelays, "listening">(child, "listening")).addresses),
+        relays.map(async child => (await receiveMessage<FromRelays, "listening">(child, "listening")).addresses),
     );
     const ownerArguments: OwnerArguments = { workers: addresses, relays: relayAddresses.flat() };
-    const owner = start("dispatch-owner", ownerArguments, ownerOptions);
-    const { address } = await receive<FromOwner, "listening">(owner, "listening");
+    const owner = startProcess("dispatch-owner", ownerArguments, ownerOptions);
+    const { address } = await receiveMessage<FromOwner, "listening">(owner, "listening");
     const environment = { clock: newSystemClock(), timers: newSystemTimers(), logger: newSilentLogger() };
     const load = new DispatchLoad(address, run.seed, environment);
     await new Promise(resolvePause => setTimeout(resolvePause, settleMs));
@@ -86,24 +88,10 @@
     const standInDelayP99Ms = Math.max(loopDelayP99Ms, loadDelay.getPercentileMs(99));
     const { disconnections } = load;
     load.stop();
-    await Promise.all([owner, ...relays, workers].map(stop));
+    await Promise.all([owner, ...relays, workers].map(stopProcess));
     return { cost, jobs, counts, disconnections, standInDelayP99Ms };
 };
 
-const start = (program: string, programArguments: object, options: readonly string[]): ChildProcess =>
-    spawn(
-        process.execPath,
-        [...options, resolve("dist/bench.js"), "process", program, JSON.stringify(programArguments)],
-        // The logging library writes lines only when this variable is set.
-        { stdio: ["ignore", "ignore", "inherit", "ipc"], env: { ...process.env, ROARR_LOG: "true" } },
-    );
-
-const stop = async (child: ChildProcess): Promise<void> => {
-    const exited = once(child, "exit");
-    child.disconnect();
-    await exited;
-};
-
 const tell = (child: ChildProcess, message: ToProcess): void => void child.send(message);
 
 /** Ends the measurement of a process and returns its report. */
@@ -111,25 +99,7 @@
     child: ChildProcess,
     type: Type,
 ): Promise<Extract<Message, { readonly type: Type; }>> => {
-    const report = receive<Message, Type>(child, type);
+    const report = receiveMessage<Message, Type>(child, type);
     tell(child, { type: "end" });
     return report;
 };
-
-/** The next message of a type; rejects when the process exits before it was sent. */
-const receive = <Message extends { readonly type: string; }, Type extends Message["type"]>(
-    child: ChildProcess,
-    type: Type,
-): Promise<Extract<Message, { readonly type: Type; }>> =>
-    new Promise((resolveMessage, reject) => {
-        const listener = (message: unknown) => {
-            if ((message as Message).type === type) {
-                child.off("message", listener);
-                child.off("exit", fail);
-                resolveMessage(message as Extract<Message, { readonly type: Type; }>);
-            }
-        };
-        const fail = (code: unknown) => reject(new Error(`process exited with code ${code} before "${type}"`));
-        child.on("message", listener);
-        child.once("exit", fail);
-    });
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -11,6 +11,12 @@
 
 const runProcess = async (program: string | undefined, programArguments = ""): Promise<void> => {
     switch (program) {
+        case "connected-control":
+            await (await import("./connectedProcesses")).runConnectedControl(programArguments);
+            return;
+        case "connected-entries":
+            await (await import("./connectedProcesses")).runConnectedEntries(programArguments);
+            return;
         case "dispatch-owner":
             await (await import("./dispatchOwnerProcess")).runOwner(programArguments);
             return;
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,6 +1,7 @@
 /** All benches, in the order in which they are listed. */
 
 import { capacity } from "./benches/capacity";
+import { connected } from "./benches/connected";
 import { controlCost } from "./benches/controlCost";
 import { crest } from "./benches/crest";
 import { dispatch } from "./benches/dispatch";
@@ -33,4 +34,5 @@
     controlCost,
     capacity,
     dispatch,
+    connected,
 ];
