Links: each end probes its peer when it needs to know, instead of a heartbeat from both ends all the time

Cause: both ends of every connection sent a line each 200 ms whether or not anything depended on the other end; at 19 entries a zone and five control instances some 430 lines a second at an entry that does nothing (counted from the code). Change: an end that has received nothing for 200 ms (1 s on a connection that is not urgent) sends a probe, which the other end answers. A connection is urgent while its user says so; without a word it always is, with the limits of before (600 ms; 2.5 s otherwise). What arrives counts as before, so a connection that carries messages is not probed. Ruled out: fewer heartbeats on all connections (an owner's loss would be found later). Test changed: 'an idle channel sends heartbeats' expected the former line; it expects the probe now, at the same times and with the same limit. New tests: idle channels, a channel that becomes urgent after a pause, probes that are answered once.

--- a/bench/src/dispatchOwnerProcess.ts
+++ b/bench/src/dispatchOwnerProcess.ts
@@ -123,9 +123,9 @@
         checker: new ChannelChecker(environment.clock, environment.timers, stallMs => {
             environment.logger.warn("process stalled", { stallMs: Math.round(stallMs) });
         }),
-        accept: reply => {
+        accept: connection => {
             accepted += 1;
-            return newSession(scheduler, `entry#${accepted}`, reply);
+            return newSession(scheduler, `entry#${accepted}`, connection.send);
         },
     });
 };
--- a/bench/src/dispatchRelaysProcess.ts
+++ b/bench/src/dispatchRelaysProcess.ts
@@ -20,7 +20,7 @@
             host: "127.0.0.1",
             port: 0,
             checker,
-            accept: reply => newSession(relay, reply),
+            accept: connection => newSession(relay, connection.send),
         });
     }));
     process.on("disconnect", () => process.exit(0));
--- a/packages/fleet/src/ControlHub.ts
+++ b/packages/fleet/src/ControlHub.ts
@@ -6,7 +6,7 @@
 import type { Address, Unsubscribe } from "@anvilmux/common";
 import type { WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
 import { encodeMessage, LinkServer } from "@anvilmux/links";
-import type { ChannelChecker, EncodedMessage, LinkEnvironment, Session } from "@anvilmux/links";
+import type { ChannelChecker, EncodedMessage, LinkConnection, LinkEnvironment, Session } from "@anvilmux/links";
 import type { Metrics } from "@anvilmux/telemetry";
 import type { EntryMember, FromControl, ToControl } from "./messages";
 import { WorkerDirectory } from "./WorkerDirectory";
@@ -62,7 +62,7 @@
             host,
             port,
             checker,
-            accept: (send, sendEncoded) => this.accept(send, sendEncoded),
+            accept: connection => this.accept(connection),
         });
         this.unsubscribe = environment.timers.every(addressCheckPeriodMs, () => this.announceChangedAddresses());
     }
@@ -118,10 +118,7 @@
         }
     }
 
-    private accept(
-        send: ConnectedEntry["send"],
-        sendEncoded: ConnectedEntry["sendEncoded"],
-    ): Session<ToControl> {
+    private accept({ send, sendEncoded }: LinkConnection<FromControl>): Session<ToControl> {
         const entry: ConnectedEntry = { send, sendEncoded, member: undefined, claim: 0 };
         this.entries.add(entry);
         return {
--- a/packages/fleet/src/ZoneMesh.ts
+++ b/packages/fleet/src/ZoneMesh.ts
@@ -71,7 +71,7 @@
             host,
             port,
             checker,
-            accept: send => this.accept(send),
+            accept: connection => this.accept(connection.send),
         });
     }
 
--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -1,13 +1,22 @@
 /**
- * One persistent TCP connection that carries newline-delimited JSON in both directions. Each end sends an empty line as
- * a heartbeat when it has sent nothing else for a while, so that a failed connection is detected without a TCP reset.
+ * One persistent TCP connection that carries newline-delimited JSON in both directions. An end that has received nothing
+ * for a while probes its peer, which answers with an empty line, so that a failed connection is detected without a TCP
+ * reset. Each end decides by itself how soon: at once while the connection is urgent, that is, while it awaits an
+ * answer or a decision depends on the peer, and later otherwise.
  */
 
 import { getErrorMessage } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import type { Socket } from "node:net";
 import { StringDecoder } from "node:string_decoder";
-import { heartbeatPeriodMs, heartbeatTimeoutMs, maximumLineCharacters, maximumUnsentBytes } from "./constants";
+import {
+    heartbeatPeriodMs,
+    heartbeatTimeoutMs,
+    idleHeartbeatPeriodMs,
+    idleHeartbeatTimeoutMs,
+    maximumLineCharacters,
+    maximumUnsentBytes,
+} from "./constants";
 import { encodeMessage } from "./encodeMessage";
 import type { EncodedMessage } from "./encodeMessage";
 import type { LinkMessage } from "./types";
@@ -16,14 +25,22 @@
     readonly onMessage: (message: Incoming) => void;
     /** Called once, when the channel closes for any reason. */
     readonly onClose: (reason: string) => void;
+    /** True while a failure of the peer has to be detected soon; always when absent. */
+    readonly isUrgent?: () => boolean;
 }
 
+/** Asks the peer for `heartbeatLine`. */
+const probeLine = "?";
+const heartbeatLine = "";
+
 export class Channel<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
     private readonly decoder = new StringDecoder("utf8");
     private partial = "";
     private unsent: string[] = [];
     private receivedAt: Milliseconds;
-    private sentAt: Milliseconds;
+    private probedAt: Milliseconds;
+    /** When the connection became urgent; undefined while it is not. */
+    private urgentSince: Milliseconds | undefined;
     private closed = false;
 
     constructor(
@@ -32,7 +49,7 @@
         private readonly listener: ChannelListener<Incoming>,
     ) {
         this.receivedAt = clock.now();
-        this.sentAt = this.receivedAt;
+        this.probedAt = this.receivedAt;
         socket.setNoDelay(true);
         socket.on("data", bytes => this.receive(bytes));
         socket.on("error", error => this.close(getErrorMessage(error)));
@@ -57,15 +74,20 @@
         this.write(message);
     }
 
-    /** Sends a heartbeat when due; closes the channel when nothing was received within the heartbeat timeout. */
+    /** Probes the peer when due; closes the channel when nothing was received within the heartbeat timeout. */
     check(): void {
         const now = this.clock.now();
-        if (now - this.receivedAt > heartbeatTimeoutMs) {
+        const isUrgent = this.listener.isUrgent?.() ?? true;
+        this.urgentSince = isUrgent ? this.urgentSince ?? now : undefined;
+        const timeout = isUrgent ? heartbeatTimeoutMs : idleHeartbeatTimeoutMs;
+        if (now - Math.max(this.receivedAt, this.urgentSince ?? 0) > timeout) {
             this.close(`received nothing for ${Math.round(now - this.receivedAt)} ms`);
             return;
         }
-        if (now - this.sentAt >= heartbeatPeriodMs) {
-            this.write("\n");
+        const period = isUrgent ? heartbeatPeriodMs : idleHeartbeatPeriodMs;
+        if (now - Math.max(this.receivedAt, this.probedAt) >= period) {
+            this.probedAt = now;
+            this.write(`${probeLine}\n`);
         }
     }
 
@@ -91,7 +113,6 @@
             setImmediate(() => this.flush());
         }
         this.unsent.push(line);
-        this.sentAt = this.clock.now();
     }
 
     private flush(): void {
@@ -116,12 +137,21 @@
             return;
         }
         for (const line of lines) {
-            if (line !== "" && !this.closed) {
-                this.deliver(line);
+            if (line !== heartbeatLine && !this.closed) {
+                this.receiveLine(line);
             }
         }
     }
 
+    private receiveLine(line: string): void {
+        if (line === probeLine) {
+            this.write(`${heartbeatLine}\n`);
+        }
+        else {
+            this.deliver(line);
+        }
+    }
+
     private deliver(line: string): void {
         let message: Incoming;
         try {
--- a/packages/links/src/Link.ts
+++ b/packages/links/src/Link.ts
@@ -7,23 +7,35 @@
 import { Channel } from "./Channel";
 import type { ChannelChecker } from "./ChannelChecker";
 import { connectTimeoutMs, initialReconnectDelayMs, maximumReconnectDelayMs } from "./constants";
-import type { LinkEnvironment, LinkMessage } from "./types";
+import { toLinkConnection } from "./toLinkConnection";
+import type { LinkConnection, LinkEnvironment, LinkMessage, OpenSocket } from "./types";
 
-export interface LinkOptions<Incoming extends LinkMessage> {
+export interface LinkOptions<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
     readonly address: Address;
     readonly checker: ChannelChecker;
-    readonly onOpen: () => void;
+    /** Opens a TCP connection when absent. */
+    readonly openSocket?: OpenSocket | undefined;
+    readonly onOpen: (connection: LinkConnection<Outgoing>) => void;
     readonly onMessage: (message: Incoming) => void;
     readonly onClose: (reason: string) => void;
+    /** True while a failure of the peer has to be detected soon; always when absent. */
+    readonly isUrgent?: () => boolean;
+    /** Called when an attempt to connect failed. */
+    readonly onUnreachable?: () => void;
 }
 
+const openTcpSocket: OpenSocket = address => connect(splitAddress(address));
+
 export class Link<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
     private channel: Channel<Incoming, Outgoing> | undefined;
     private reconnectDelay: Milliseconds = initialReconnectDelayMs;
     private cancelReconnect: Unsubscribe = () => undefined;
     private stopped = false;
 
-    constructor(private readonly environment: LinkEnvironment, private readonly options: LinkOptions<Incoming>) {
+    constructor(
+        private readonly environment: LinkEnvironment,
+        private readonly options: LinkOptions<Incoming, Outgoing>,
+    ) {
         this.connect();
     }
 
@@ -53,14 +65,15 @@
     }
 
     private connect(): void {
-        const { host, port } = splitAddress(this.options.address);
-        const socket = connect({ host, port });
+        const { address, openSocket = openTcpSocket } = this.options;
+        const socket = openSocket(address);
         let settled = false;
         const fail = () => {
             if (!settled) {
                 settled = true;
                 socket.destroy();
                 this.scheduleReconnect();
+                this.options.onUnreachable?.();
             }
         };
         const cancelTimeout = this.environment.timers.after(connectTimeoutMs, fail);
@@ -83,6 +96,7 @@
         this.reconnectDelay = initialReconnectDelayMs;
         this.channel = new Channel<Incoming, Outgoing>(socket, this.environment.clock, {
             onMessage: this.options.onMessage,
+            isUrgent: () => this.options.isUrgent?.() ?? true,
             onClose: reason => {
                 this.channel = undefined;
                 this.options.onClose(reason);
@@ -90,7 +104,7 @@
             },
         });
         this.options.checker.add(this.channel);
-        this.options.onOpen();
+        this.options.onOpen(toLinkConnection(this.channel));
     }
 
     private scheduleReconnect(): void {
--- a/packages/links/src/LinkServer.ts
+++ b/packages/links/src/LinkServer.ts
@@ -6,23 +6,22 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { Channel } from "./Channel";
 import type { ChannelChecker } from "./ChannelChecker";
-import type { EncodedMessage } from "./encodeMessage";
-import type { LinkEnvironment, LinkMessage } from "./types";
+import { toLinkConnection } from "./toLinkConnection";
+import type { LinkConnection, LinkEnvironment, LinkMessage } from "./types";
 
 /** Handlers of one accepted connection. */
 export interface Session<Incoming extends LinkMessage> {
     readonly onMessage: (message: Incoming) => void;
     readonly onClose: (reason: string) => void;
+    /** True while a failure of the peer has to be detected soon; always when absent. */
+    readonly isUrgent?: () => boolean;
 }
 
 export interface LinkServerOptions<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
     readonly host: string;
     readonly port: number;
     readonly checker: ChannelChecker;
-    readonly accept: (
-        send: (message: Outgoing) => void,
-        sendEncoded: (message: EncodedMessage<Outgoing>) => void,
-    ) => Session<Incoming>;
+    readonly accept: (connection: LinkConnection<Outgoing>) => Session<Incoming>;
 }
 
 export class LinkServer<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
@@ -64,6 +63,7 @@
         let session: Session<Incoming> | undefined = undefined;
         const channel: Channel<Incoming, Outgoing> = new Channel(socket, this.environment.clock, {
             onMessage: message => session?.onMessage(message),
+            isUrgent: () => session?.isUrgent?.() ?? true,
             onClose: reason => {
                 this.channels.delete(channel);
                 session?.onClose(reason);
@@ -71,6 +71,6 @@
         });
         this.channels.add(channel);
         this.options.checker.add(channel);
-        session = this.options.accept(message => channel.send(message), message => channel.sendEncoded(message));
+        session = this.options.accept(toLinkConnection(channel));
     }
 }
--- a/packages/links/src/constants.ts
+++ b/packages/links/src/constants.ts
@@ -1,9 +1,12 @@
 /** Periods and limits of persistent connections between instances. */
 
-/** Time without a sent line after which an empty line is sent as a heartbeat. */
+/** Time without received data after which the peer of an urgent connection is probed, and again after each further one. */
 export const heartbeatPeriodMs = 200;
-/** Time without received data after which a connection is closed, whether or not it was reset. */
+/** Time without received data after which an urgent connection is closed, whether or not it was reset. */
 export const heartbeatTimeoutMs = 600;
+/** The same times on a connection on which neither an answer nor a decision is awaited. */
+export const idleHeartbeatPeriodMs = 1_000;
+export const idleHeartbeatTimeoutMs = 2_500;
 /** Time between two checks of all connections. */
 export const checkPeriodMs = 100;
 /** A check that is late by more than this shows that this process itself stalled. */
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -5,4 +5,5 @@
 export * from "./encodeMessage";
 export * from "./Link";
 export * from "./LinkServer";
+export * from "./toLinkConnection";
 export * from "./types";
--- a/packages/links/tests/Channel.test.ts
+++ b/packages/links/tests/Channel.test.ts
@@ -1,7 +1,13 @@
 /** Persistent connections: lines, heartbeats, timeouts, stalls of this process and malformed input, on virtual time. */
 
 import { VirtualTime } from "@anvilmux/common";
-import { Channel, ChannelChecker, heartbeatTimeoutMs } from "@anvilmux/links";
+import {
+    Channel,
+    ChannelChecker,
+    heartbeatTimeoutMs,
+    idleHeartbeatPeriodMs,
+    idleHeartbeatTimeoutMs,
+} from "@anvilmux/links";
 import type { LinkMessage } from "@anvilmux/links";
 import { EventEmitter } from "node:events";
 import type { Socket } from "node:net";
@@ -28,12 +34,13 @@
     readonly text: string;
 }
 
-const newFixture = () => {
+const newFixture = (options: { readonly isUrgent?: () => boolean; } = {}) => {
     const time = new VirtualTime();
     const socket = new FakeSocket();
     const received: TextMessage[] = [];
     const closed: string[] = [];
     const channel = new Channel<TextMessage, TextMessage>(socket as unknown as Socket, time, {
+        ...options,
         onMessage: message => received.push(message),
         onClose: reason => closed.push(reason),
     });
@@ -55,10 +62,10 @@
         expect(received.map(message => message.text)).toEqual(["ä", "b"]);
     });
 
-    test("an idle channel sends heartbeats, and is closed once when it receives nothing", async () => {
+    test("an urgent channel probes its peer, and is closed once when it receives nothing", async () => {
         const { time, socket, closed, channel } = newFixture();
         await time.advance(heartbeatTimeoutMs - 100);
-        expect(socket.written.every(text => text === "\n")).toBe(true);
+        expect(socket.written.every(text => text === "?\n")).toBe(true);
         expect(socket.written.length).toBeGreaterThan(1);
         expect(channel.isOpen).toBe(true);
         await time.advance(500);
@@ -66,6 +73,40 @@
         expect(closed[0]).toContain("received nothing");
     });
 
+    test("a channel that is not urgent probes its peer seldom, and is closed later", async () => {
+        const { time, socket, closed, channel } = newFixture({ isUrgent: () => false });
+        await time.advance(idleHeartbeatPeriodMs + 150);
+        expect(socket.written).toEqual(["?\n"]);
+        expect(channel.isOpen).toBe(true);
+        await time.advance(idleHeartbeatTimeoutMs);
+        expect(closed).toHaveLength(1);
+    });
+
+    test("a channel that becomes urgent after a pause is closed only when a probe gets no answer in time", async () => {
+        let isUrgent = false;
+        const { time, socket, channel } = newFixture({ isUrgent: () => isUrgent });
+        await time.advance(900);
+        isUrgent = true;
+        await time.advance(200);
+        expect(socket.written).toEqual(["?\n"]);
+        socket.emit("data", Buffer.from("\n"));
+        await time.advance(heartbeatTimeoutMs - 100);
+        expect(channel.isOpen).toBe(true);
+        await time.advance(300);
+        expect(channel.isOpen).toBe(false);
+    });
+
+    test("a probe is answered, and the answer is not answered again", async () => {
+        const { time, socket, received } = newFixture();
+        socket.emit("data", Buffer.from("?\n"));
+        await time.advance(1);
+        expect(socket.written).toEqual(["\n"]);
+        socket.emit("data", Buffer.from("\n"));
+        await time.advance(1);
+        expect(socket.written).toEqual(["\n"]);
+        expect(received).toEqual([]);
+    });
+
     test("heartbeats of the peer keep a channel open", async () => {
         const { time, socket, channel } = newFixture();
         for (let heartbeat = 0; heartbeat < 30; heartbeat++) {
