Zone: an entry is connected to the owner and three leading entries instead of to every other one

Cause: each entry connected to every other entry of its zone, one connection in each direction of a pair, so the cost of being connected grew with the square of a zone's entries. Change: a star. The entries in the order of their ids have leading ones, the first three that can be reached and may own the workers; each entry is connected to those and to the owner, the owner to all. A pair has one connection, opened by the later of the two, on which both send all messages. The owner and the leading entries watch each other closely, others only while a job or the owner's place depends on the connection. An entry claims only once it knows that none that comes before it, and no owner that control reports, can be reached. Control is asked closely only while no entry is connected or a configuration is on its way.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -18,13 +18,14 @@
     TaskScheduler,
     WorkerAnnouncement,
 } from "@anvilmux/dispatch";
-import { ControlLinks, WorkerDirectory, ZoneMesh } from "@anvilmux/fleet";
-import type { EntryMember, FromPeer, ToPeer } from "@anvilmux/fleet";
-import { ChannelChecker } from "@anvilmux/links";
+import { ControlLinks, WorkerDirectory, ZonePeers } from "@anvilmux/fleet";
+import type { EntryMember, ZoneOwner } from "@anvilmux/fleet";
+import { ChannelChecker, heartbeatTimeoutMs } from "@anvilmux/links";
 import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
 import { getProcessorTime, LoopDelayMonitor } from "@anvilmux/telemetry";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { Environment } from "../environment";
+import { EntryMessages } from "./EntryMessages";
 import { WorkerOwnership } from "./WorkerOwnership";
 
 export interface DispatchEntryOptions {
@@ -53,7 +54,8 @@
     private readonly workers = new WorkerDirectory();
     private readonly pendingJobs: PendingJobs;
     private readonly election: ZoneElection;
-    private readonly mesh: ZoneMesh;
+    private readonly peers: ZonePeers;
+    private readonly messages: EntryMessages;
     private readonly ownership: WorkerOwnership;
     private readonly relay: WorkerRelay;
     private control: ControlLinks | undefined;
@@ -85,31 +87,41 @@
         this.election = new ZoneElection({
             selfId: this.self.id,
             selfNumber: hashText(`${this.self.id} ${this.self.incarnation}`),
-            getCandidates: () => this.mesh.getCandidates(),
+            getCandidates: () => this.peers.getCandidates(),
             getFitness: () => this.getFitness(),
-            isIsolated: () => this.mesh.getCandidates().length === 0 && (this.control?.openCount ?? 0) === 0,
-            areAllEntriesConnected: () =>
-                (this.control?.areMembersReported ?? false) && this.mesh.areAllPeersConnected(),
+            isIsolated: () => this.isWithoutPeers && !(this.control?.isHeardWithin(heartbeatTimeoutMs) ?? false),
+            areNeededEntriesConnected: () =>
+                (this.control?.areMembersReported ?? false) && this.peers.areNeededPeersConnected(),
+            isAwaitingEntries: () => this.peers.isAwaitingPeers(),
             clock,
             logger,
             onClaim: claim => this.handleClaimChange(claim),
-            onOwner: () => this.pendingJobs.handleOwnerChange(),
+            onOwner: () => {
+                this.peers.review();
+                this.pendingJobs.handleOwnerChange();
+            },
         });
         this.relay = new WorkerRelay({ connect: options.connectWorker, clock, timers });
-        this.mesh = this.newMesh();
+        this.peers = this.newPeers();
         this.ownership = new WorkerOwnership({
             ...options,
             self: this.self,
             checker: this.checker,
-            mesh: this.mesh,
+            peers: this.peers,
             getFencingToken: () => this.election.claim,
             onFenced: fencingToken => this.election.handleFenced(fencingToken),
         });
+        this.messages = new EntryMessages({
+            getScheduler: () => this.scheduler,
+            pendingJobs: this.pendingJobs,
+            relay: this.relay,
+            relayedWorkers: this.ownership.relayedWorkers,
+        });
     }
 
     /** Rejects when the link port cannot be bound. */
     async start(): Promise<void> {
-        await this.mesh.start();
+        await this.peers.start();
         const { environment, controlSeeds, logger, metrics } = this.options;
         this.control = new ControlLinks({
             self: this.self,
@@ -117,16 +129,20 @@
             checker: this.checker,
             environment: { ...environment, logger },
             getConfigurationIndex: () => this.configurationHolder.index,
-            onMembers: members => this.mesh.handleMembers(members),
+            onMembers: members => this.peers.handleMembers(members),
             getClaim: () => this.election.claim,
-            onOwners: owners => this.ownership.handleOwners(owners),
+            isUrgent: () => this.isWithoutPeers,
+            onOwners: owners => this.handleOwners(owners),
             onWorkers: announcements => this.handleWorkers(announcements),
             onConfiguration: (index, envelope) => this.applyConfiguration(index, envelope),
         });
         const loopDelay = new LoopDelayMonitor({ ...environment, logger, metrics, getProcessorTime });
         const unsubscribers = [
             () => loopDelay.stop(),
-            environment.timers.every(electionPeriodMs, () => this.election.update()),
+            environment.timers.every(electionPeriodMs, () => {
+                this.peers.review();
+                this.election.update();
+            }),
             environment.timers.every(capacityReportPeriodMs, () => this.ownership.reportFreeCapacity()),
         ];
         this.unsubscribe = () => unsubscribers.forEach(unsubscribe => unsubscribe());
@@ -142,7 +158,7 @@
         this.ownership.release();
         this.relay.stop();
         this.control?.stop();
-        this.mesh.stop();
+        this.peers.stop();
         this.checker.stop();
     }
 
@@ -190,13 +206,17 @@
         this.scheduler?.prepareTransfer();
         this.options.logger.info("leaving", { openJobs: this.pendingJobs.openJobs });
         this.election.update();
-        this.mesh.announceState();
+        this.peers.announceState();
     }
 
     private get scheduler(): TaskScheduler | undefined {
         return this.ownership.scheduler;
     }
 
+    private get isWithoutPeers(): boolean {
+        return this.peers.getCandidates().length === 0;
+    }
+
     private getFitness(): Fitness {
         if (!this.isConfigured) {
             return "unfit";
@@ -210,63 +230,34 @@
         return isInTime && (this.scheduler?.hasCrossZoneTasks ?? false);
     }
 
-    private newMesh(): ZoneMesh {
+    private newPeers(): ZonePeers {
         const { environment, logger, host, linkPort } = this.options;
-        return new ZoneMesh({
+        return new ZonePeers({
             self: this.self,
             host,
             port: linkPort,
             checker: this.checker,
             environment: { ...environment, logger },
             getState: () => ({ claim: this.election.claim, fitness: this.getFitness() }),
+            getOwnerId: () => this.election.ownerId,
+            hasOpenJobs: (peerId, submitter) =>
+                (peerId !== undefined && this.pendingJobs.hasJobsAt(peerId))
+                || (this.scheduler?.hasJobsOf(submitter) ?? false),
             onChange: () => {
                 this.ownership.relayedWorkers.handleRelaysChanged();
                 this.election.update();
             },
-            onReply: (peerId, message) => this.handleReply(peerId, message),
+            onMessage: (message, connection, peerId) => this.messages.handle(message, connection, peerId),
             getWorkers: () => this.workers.getAll(),
             onWorkers: announcements => this.handleWorkers(announcements),
             onPeerDisconnected: peerId => {
                 this.ownership.relayedWorkers.handleDisconnected(peerId);
                 this.pendingJobs.handleOwnerDisconnected(peerId);
             },
-            onSubmit: (submitter, message, reply) => {
-                this.handleSubmit(message, submitter, reply);
-            },
-            onRemoteAcknowledged: (submitter, message) =>
-                this.scheduler?.handleRemoteAcknowledgement(message.id, submitter),
-            onCancel: (submitter, message) => this.scheduler?.cancel(message.id, submitter, "cancelled by its entry"),
-            onWithdraw: (submitter, message) => this.scheduler?.withdraw(message.id, submitter),
             onSubmitterDisconnected: submitter => this.scheduler?.handleSubmitterDisconnected(submitter),
-            onWorkerCall: (call, reply) =>
-                void this.relay.handle(call, answer => reply({ type: "worker-answer", number: call.number, answer })),
         });
     }
 
-    private handleSubmit(
-        { request, submission }: Extract<ToPeer, { type: "submit"; }>,
-        submitter: string,
-        reply: (message: FromPeer) => void,
-    ): void {
-        const { id } = request;
-        const answer = (jobAnswer: JobAnswer) => reply({ type: "answer", id, submission, answer: jobAnswer });
-        if (this.scheduler) {
-            this.scheduler.submit(request, {
-                key: submitter,
-                answer,
-                announceRemoteTasks: () => {
-                    reply({ type: "away", id, submission });
-                    return false;
-                },
-                announceNoRemoteTasks: () => reply({ type: "back", id, submission }),
-            });
-        }
-        else if (request.spilled) {
-            answer({ kind: "refused", reason: "this entry owns no workers", retryAfterMs: 0 });
-        }
-        // Otherwise the submitter is an entry of this zone, which submits the job again to the next owner.
-    }
-
     private getOwner(): OwnerLink | undefined {
         const { ownerId } = this.election;
         if (ownerId === undefined) {
@@ -274,9 +265,9 @@
         }
         return ownerId === this.self.id ? this.getLocalOwnerLink() : {
             id: ownerId,
-            submit: (request, submission) => this.mesh.send(ownerId, { type: "submit", request, submission }),
-            cancel: id => this.mesh.send(ownerId, { type: "cancel", id }),
-            withdraw: id => this.mesh.send(ownerId, { type: "withdraw", id }),
+            submit: (request, submission) => this.peers.send(ownerId, { type: "submit", request, submission }),
+            cancel: id => this.peers.send(ownerId, { type: "cancel", id }),
+            withdraw: id => this.peers.send(ownerId, { type: "withdraw", id }),
         };
     }
 
@@ -309,26 +300,18 @@
             this.ownership.release();
             this.pendingJobs.handleOwnerDisconnected(this.self.id);
         }
-        this.mesh.announceState();
+        this.peers.announceState();
         this.control?.announceClaim();
     }
 
-    private handleReply(peerId: string, message: FromPeer): void {
-        switch (message.type) {
-            case "answer":
-                this.pendingJobs.handleAnswer(peerId, message.id, message.answer, message.submission);
-                return;
-            case "away":
-                if (this.pendingJobs.markRemoteTasks(peerId, message.id, true, message.submission)) {
-                    this.mesh.send(peerId, { type: "away-known", id: message.id });
-                }
-                return;
-            case "back":
-                this.pendingJobs.markRemoteTasks(peerId, message.id, false, message.submission);
-                return;
-            case "worker-answer":
-                this.ownership.relayedWorkers.handleAnswer(message.number, message.answer);
-        }
+    private handleOwners(owners: readonly ZoneOwner[]): void {
+        const ownZone = owners.filter(owner => owner.member.zone === this.self.zone);
+        const latest = ownZone.reduce<ZoneOwner | undefined>(
+            (highest, owner) => highest && highest.claim >= owner.claim ? highest : owner,
+            undefined,
+        );
+        this.peers.handleReportedOwner(latest?.member);
+        this.ownership.handleOwners(owners);
     }
 
     private handleWorkers(announcements: readonly WorkerAnnouncement[]): void {
@@ -342,7 +325,7 @@
     private applyConfiguration(index: number, envelope: string): void {
         if (this.configurationHolder.apply(BigInt(index), Buffer.from(envelope))) {
             this.queues = new QueueTable(this.configurationHolder.configuration?.manifest.queues ?? []);
-            this.mesh.announceState();
+            this.peers.announceState();
             this.election.update();
         }
     }
--- /dev/null
+++ b/packages/anvilmux/src/roles/EntryMessages.ts
@@ -0,0 +1,99 @@
+/**
+ * Handles the messages of other entries: jobs that they submit while this entry owns the workers, calls to workers that this
+ * entry makes for the owner, and the answers to this entry's own jobs and calls.
+ */
+
+import type { PendingJobs, RelayedWorkers, TaskScheduler, WorkerRelay } from "@anvilmux/dispatch";
+import type { JobAnswer } from "@anvilmux/dispatch";
+import type { PeerConnection, PeerMessage } from "@anvilmux/fleet";
+
+export interface EntryMessagesOptions {
+    /** Undefined while another entry owns the workers. */
+    readonly getScheduler: () => TaskScheduler | undefined;
+    readonly pendingJobs: PendingJobs;
+    readonly relay: WorkerRelay;
+    readonly relayedWorkers: RelayedWorkers;
+}
+
+type Submit = Extract<PeerMessage, { type: "submit"; }>;
+
+export class EntryMessages {
+    constructor(private readonly options: EntryMessagesOptions) {}
+
+    /** `peerId` is undefined for the owner of another zone, which only submits jobs. */
+    handle(message: PeerMessage, connection: PeerConnection, peerId: string | undefined): void {
+        const { getScheduler, relayedWorkers } = this.options;
+        const { submitterKey } = connection;
+        switch (message.type) {
+            case "submit":
+                this.handleSubmit(message, connection);
+                return;
+            case "away-known":
+                getScheduler()?.handleRemoteAcknowledgement(message.id, submitterKey);
+                return;
+            case "cancel":
+                getScheduler()?.cancel(message.id, submitterKey, "cancelled by its entry");
+                return;
+            case "withdraw":
+                getScheduler()?.withdraw(message.id, submitterKey);
+                return;
+            case "worker-call":
+                this.handleWorkerCall(message, connection);
+                return;
+            case "worker-answer":
+                relayedWorkers.handleAnswer(message.number, message.answer);
+                return;
+            default:
+                this.handleOwnerMessage(message, connection, peerId);
+        }
+    }
+
+    private handleSubmit({ request, submission }: Submit, { send, submitterKey }: PeerConnection): void {
+        const { id } = request;
+        const answer = (jobAnswer: JobAnswer) => send({ type: "answer", id, submission, answer: jobAnswer });
+        const scheduler = this.options.getScheduler();
+        if (scheduler) {
+            scheduler.submit(request, {
+                key: submitterKey,
+                answer,
+                announceRemoteTasks: () => {
+                    send({ type: "away", id, submission });
+                    return false;
+                },
+                announceNoRemoteTasks: () => send({ type: "back", id, submission }),
+            });
+        }
+        else if (request.spilled) {
+            answer({ kind: "refused", reason: "this entry owns no workers", retryAfterMs: 0 });
+        }
+        // Otherwise the submitter is an entry of this zone, which submits the job again to the next owner.
+    }
+
+    private handleWorkerCall(
+        call: Extract<PeerMessage, { type: "worker-call"; }>,
+        { send }: PeerConnection,
+    ): void {
+        const { number } = call;
+        void this.options.relay.handle(call, answer => send({ type: "worker-answer", number, answer }));
+    }
+
+    /** Handles what the owner reports on a job that this entry submitted. */
+    private handleOwnerMessage(message: PeerMessage, { send }: PeerConnection, peerId: string | undefined): void {
+        const { pendingJobs } = this.options;
+        if (peerId === undefined) {
+            return;
+        }
+        switch (message.type) {
+            case "answer":
+                pendingJobs.handleAnswer(peerId, message.id, message.answer, message.submission);
+                return;
+            case "away":
+                if (pendingJobs.markRemoteTasks(peerId, message.id, true, message.submission)) {
+                    send({ type: "away-known", id: message.id });
+                }
+                return;
+            case "back":
+                pendingJobs.markRemoteTasks(peerId, message.id, false, message.submission);
+        }
+    }
+}
--- a/packages/anvilmux/src/roles/WorkerOwnership.ts
+++ b/packages/anvilmux/src/roles/WorkerOwnership.ts
@@ -6,7 +6,7 @@
 import { chooseBestFit, RelayedWorkers, TaskScheduler } from "@anvilmux/dispatch";
 import type { Candidate, ConnectWorker, FreeCapacity, WorkerAnnouncement } from "@anvilmux/dispatch";
 import { OwnerLinks } from "@anvilmux/fleet";
-import type { EntryMember, ZoneMesh, ZoneOwner } from "@anvilmux/fleet";
+import type { EntryMember, ZoneOwner, ZonePeers } from "@anvilmux/fleet";
 import type { ChannelChecker } from "@anvilmux/links";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { Environment } from "../environment";
@@ -14,7 +14,7 @@
 export interface WorkerOwnershipOptions {
     readonly self: EntryMember;
     readonly checker: ChannelChecker;
-    readonly mesh: ZoneMesh;
+    readonly peers: ZonePeers;
     readonly connectWorker: ConnectWorker;
     readonly getFencingToken: () => number;
     /** Called when a worker refused `fencingToken` because it had accepted a higher one. */
@@ -32,11 +32,11 @@
     private lastCapacityReport = "";
 
     constructor(private readonly options: WorkerOwnershipOptions) {
-        const { connectWorker, environment, logger, metrics, mesh } = options;
+        const { connectWorker, environment, logger, metrics, peers } = options;
         this.relayedWorkers = new RelayedWorkers({
             connect: connectWorker,
-            getRelays: () => mesh.getCandidates().filter(canRelay).map(({ id }) => id),
-            send: (peerId, call) => mesh.send(peerId, { type: "worker-call", ...call }),
+            getRelays: () => peers.getCandidates().filter(isReady).map(({ id }) => id),
+            send: (peerId, call) => peers.send(peerId, { type: "worker-call", ...call }),
             clock: environment.clock,
             timers: environment.timers,
             logger,
@@ -79,7 +79,7 @@
         const text = JSON.stringify(free);
         if (text !== this.lastCapacityReport) {
             this.lastCapacityReport = text;
-            this.options.mesh.announceFreeCapacity(free);
+            this.options.peers.announceFreeCapacity(free);
         }
     }
 
@@ -106,9 +106,10 @@
             environment: { ...environment, logger },
             onAnswer: (zone, id, answer, submission) =>
                 this.currentScheduler?.handleRemoteAnswer(zone, id, answer, submission),
+            hasRemoteTasks: () => this.currentScheduler?.hasCrossZoneTasks ?? false,
             onOwnerDisconnected: zone => this.currentScheduler?.handleRemoteDisconnected(zone),
         });
     }
 }
 
-const canRelay = ({ fitness, isRelay }: Candidate): boolean => isRelay === true && fitness === "ready";
+const isReady = ({ fitness }: Candidate): boolean => fitness === "ready";
--- a/packages/dispatch/src/JobTable.ts
+++ b/packages/dispatch/src/JobTable.ts
@@ -28,6 +28,15 @@
         return [...this.jobs.values()];
     }
 
+    hasJobsOf(submitterKey: string): boolean {
+        for (const job of this.jobs.values()) {
+            if (job.submitter.key === submitterKey) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     findTask(name: TaskName): JobTask | undefined {
         return this.tasks.get(name);
     }
--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -52,6 +52,16 @@
         return this.jobs.size;
     }
 
+    /** True while a job is submitted to that owner. */
+    hasJobsAt(ownerId: string): boolean {
+        for (const job of this.jobs.values()) {
+            if (job.ownerId === ownerId) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Answers every caller that still waits, as the instance shuts down. */
     stop(): void {
         this.cancelCheck?.();
--- /dev/null
+++ b/packages/dispatch/src/PlacementRounds.ts
@@ -0,0 +1,102 @@
+/**
+ * Rounds in which the waiting tasks are placed: in order of urgency as far as there is free capacity; what is left is
+ * spilled to other zones. Requests for a round that come in one turn of the event loop share it.
+ */
+
+import type { Clock } from "@anvilmux/common";
+import { maximumPassedOver } from "./constants";
+import type { JobTable } from "./JobTable";
+import { mayHaveUnseenRuns } from "./jobTimeouts";
+import type { SchedulerView } from "./jobTimeouts";
+import type { OwnedWorkers } from "./OwnedWorkers";
+import type { ScheduledJob } from "./ScheduledJob";
+import type { TaskPlacer } from "./TaskPlacer";
+import type { TaskSpiller } from "./TaskSpiller";
+
+export interface PlacementRoundsOptions {
+    readonly clock: Clock;
+    readonly jobs: JobTable;
+    readonly workers: OwnedWorkers;
+    readonly placer: TaskPlacer;
+    readonly spiller: TaskSpiller;
+    /** False while no tasks may be forwarded to other zones. */
+    readonly maySpill: () => boolean;
+    /** Called for a job of another zone that could not be started at once. */
+    readonly onUnplaced: (job: ScheduledJob) => void;
+}
+
+export class PlacementRounds {
+    private isScheduled = false;
+    private isStopped = false;
+
+    constructor(private readonly options: PlacementRoundsOptions) {}
+
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    /** Runs a round at the end of this turn of the event loop. */
+    schedule(): void {
+        if (!this.isScheduled && !this.isStopped) {
+            this.isScheduled = true;
+            setImmediate(() => {
+                this.isScheduled = false;
+                this.run();
+            });
+        }
+    }
+
+    run(): void {
+        if (this.isStopped) {
+            return;
+        }
+        const { jobs, placer, onUnplaced } = this.options;
+        const view = this.getView();
+        let passedOver = 0;
+        for (const job of jobs.getWaiting()) {
+            if (passedOver >= maximumPassedOver) {
+                break;
+            }
+            if (job.withdrawn) {
+                continue;
+            }
+            if (!this.placeTasks(job, view)) {
+                this.spill(job, view);
+                passedOver += job.waiting > 0 ? 1 : 0;
+            }
+            jobs.prune(job);
+        }
+        jobs.getWaitingFromOtherZones()
+            .filter(job => job.started === 0 && !placer.hasLiveRuns(job))
+            .forEach(onUnplaced);
+    }
+
+    /** The state at the start of a round; the workers are looked at once, when a job depends on them. */
+    getView(): SchedulerView {
+        let areAllListed: boolean | undefined;
+        return {
+            now: this.options.clock.now(),
+            areAllListed: () => areAllListed ??= this.options.workers.areAllListed(),
+        };
+    }
+
+    /** Places the waiting tasks of a job; true when all of them were placed. */
+    private placeTasks(job: ScheduledJob, view: SchedulerView): boolean {
+        if (mayHaveUnseenRuns(job, view)) {
+            return false;
+        }
+        for (const task of job.tasks) {
+            if (task.state === "waiting" && !this.options.placer.place(job, task)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private spill(job: ScheduledJob, view: SchedulerView): void {
+        const { placer, spiller, maySpill } = this.options;
+        if (!job.request.spilled && maySpill() && !mayHaveUnseenRuns(job, view)) {
+            spiller.spill(job, job.tasks.filter(task => placer.maySpill(task)));
+        }
+    }
+}
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -5,20 +5,13 @@
  */
 
 import type { JobId, Milliseconds, Unsubscribe } from "@anvilmux/common";
-import {
-    endedJobRetentionMs,
-    maximumEndedJobs,
-    maximumPassedOver,
-    orphanGraceMs,
-    schedulerTickMs,
-    spilledGraceMs,
-} from "./constants";
+import { endedJobRetentionMs, maximumEndedJobs, orphanGraceMs, schedulerTickMs, spilledGraceMs } from "./constants";
 import { CrashSuspects } from "./CrashSuspects";
 import { JobTable } from "./JobTable";
-import { cannotMeetDeadline, mayHaveUnseenRuns, newAbortAnswer } from "./jobTimeouts";
-import type { SchedulerView } from "./jobTimeouts";
+import { cannotMeetDeadline, newAbortAnswer } from "./jobTimeouts";
 import { OwnedWorkers } from "./OwnedWorkers";
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
+import { PlacementRounds } from "./PlacementRounds";
 import { RecentMap } from "./RecentMap";
 import { newGivenUpAnswer, RunCompletionHandler } from "./RunCompletionHandler";
 import type { Run, RunOutcome } from "./RunTable";
@@ -47,8 +40,7 @@
     private readonly completionHandler: RunCompletionHandler;
     private readonly suspects: CrashSuspects;
     private readonly placer: TaskPlacer;
-    private placementScheduled = false;
-    private closed = false;
+    private readonly rounds: PlacementRounds;
     private transferring = false;
     /** When the current fencing token was obtained; runs started before are known only from workers' lists. */
     private ownsSince: Milliseconds;
@@ -74,13 +66,26 @@
             onCrash: (session, runs) => this.completionHandler.handleCrash(session, runs),
             onFound: (session, run) => this.handleFoundRun(session, run),
             onStandstill: (session, run, percent) => this.handleStalledRun(session, run, percent),
-            onChange: () => this.schedulePlacement(),
+            onChange: () => this.rounds.schedule(),
         });
         this.placer = new TaskPlacer(options, this.workers, this.suspects, this.liveRuns);
         this.completionHandler = new RunCompletionHandler(options, this.workers, this.suspects, events);
+        this.rounds = new PlacementRounds({
+            clock: options.clock,
+            jobs: this.jobs,
+            workers: this.workers,
+            placer: this.placer,
+            spiller: this.spiller,
+            maySpill: () => !this.transferring,
+            onUnplaced: job => this.abortJob(job),
+        });
         this.unsubscribe = options.timers.every(schedulerTickMs, () => this.tick());
     }
 
+    hasJobsOf(submitterKey: string): boolean {
+        return this.jobs.hasJobsOf(submitterKey);
+    }
+
     get waitingJobs(): number {
         return this.jobs.waitingCount;
     }
@@ -121,7 +126,7 @@
         this.jobs.add(job);
         job.tasks.forEach(task => this.adopt(job, task));
         this.jobs.prune(job);
-        this.schedulePlacement();
+        this.rounds.schedule();
     }
 
     /** The answer to a job that cannot be done here; undefined when it may be. */
@@ -183,7 +188,7 @@
         const job = this.jobs.get(id);
         if (job?.remoteAcknowledgement === "asked" && job.submitter.key === submitterKey) {
             job.remoteAcknowledgement = "yes";
-            this.schedulePlacement();
+            this.rounds.schedule();
         }
     }
 
@@ -223,7 +228,7 @@
 
     /** Releases all workers without stopping their runs; the next owner finds them in the workers' lists. */
     stop(): void {
-        this.closed = true;
+        this.rounds.stop();
         this.unsubscribe();
         this.workers.close();
     }
@@ -240,60 +245,6 @@
         this.options.logger.info("run adopted", { job: job.request.id, task: run.task, run: run.run });
     }
 
-    private schedulePlacement(): void {
-        if (!this.placementScheduled && !this.closed) {
-            this.placementScheduled = true;
-            setImmediate(() => {
-                this.placementScheduled = false;
-                this.placeWaitingTasks();
-            });
-        }
-    }
-
-    /** Places waiting tasks in order of urgency as far as there is free capacity, and spills the rest. */
-    private placeWaitingTasks(): void {
-        if (this.closed) {
-            return;
-        }
-        const view = this.getView();
-        let passedOver = 0;
-        for (const job of this.jobs.getWaiting()) {
-            if (passedOver >= maximumPassedOver) {
-                break;
-            }
-            if (job.withdrawn) {
-                continue;
-            }
-            if (!this.placeTasks(job, view)) {
-                this.spill(job, view);
-                passedOver += job.waiting > 0 ? 1 : 0;
-            }
-            this.jobs.prune(job);
-        }
-        this.jobs.getWaitingFromOtherZones()
-            .filter(job => job.started === 0 && !this.placer.hasLiveRuns(job))
-            .forEach(job => this.abortJob(job));
-    }
-
-    /** Places the waiting tasks of a job; true when all of them were placed. */
-    private placeTasks(job: ScheduledJob, view: SchedulerView): boolean {
-        if (mayHaveUnseenRuns(job, view)) {
-            return false;
-        }
-        for (const task of job.tasks) {
-            if (task.state === "waiting" && !this.placer.place(job, task)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private spill(job: ScheduledJob, view: SchedulerView): void {
-        if (!job.request.spilled && !this.transferring && !mayHaveUnseenRuns(job, view)) {
-            this.spiller.spill(job, job.tasks.filter(task => this.placer.maySpill(task)));
-        }
-    }
-
     private handleFoundRun(session: WorkerSession, run: Run): void {
         this.liveRuns.set(run.task, session);
         const owner = this.jobs.findTask(run.task);
@@ -325,7 +276,7 @@
         if (owner && owner.task.session === session && owner.task.state === "placed") {
             this.completionHandler.handle(owner.job, owner.task, session, run, outcome);
         }
-        this.schedulePlacement();
+        this.rounds.schedule();
     }
 
     private markTaskDone(job: ScheduledJob, task: ScheduledTask): void {
@@ -340,7 +291,7 @@
         task.state = "waiting";
         job.waiting += 1;
         this.jobs.enqueue(job);
-        this.schedulePlacement();
+        this.rounds.schedule();
     }
 
     private finish(job: ScheduledJob, answer: JobAnswer): void {
@@ -373,10 +324,10 @@
 
     /** Aborts jobs that cannot meet their deadline, and tries to place the waiting ones. */
     private tick(): void {
-        const view = this.getView();
+        const view = this.rounds.getView();
         this.jobs.getAll().filter(job => cannotMeetDeadline(job, view)).forEach(job => this.abortJob(job));
         if (this.jobs.waitingCount > 0) {
-            this.placeWaitingTasks();
+            this.rounds.run();
         }
     }
 
@@ -388,13 +339,4 @@
         });
         this.finish(job, newAbortAnswer(job, this.placer.hasLiveRuns(job)));
     }
-
-    /** The state at the start of a pass over the jobs; the workers are looked at once, when a job depends on them. */
-    private getView(): SchedulerView {
-        let areAllListed: boolean | undefined;
-        return {
-            now: this.options.clock.now(),
-            areAllListed: () => areAllListed ??= this.workers.areAllListed(),
-        };
-    }
 }
--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -13,8 +13,6 @@
     readonly id: string;
     readonly claim: number;
     readonly fitness: Fitness;
-    /** True when it makes calls to workers for the owner; entries of an earlier release don't. */
-    readonly isRelay?: boolean;
 }
 
 /** How fit an entry is to own workers: not at all, only while no ready entry is connected, or ready. */
@@ -31,8 +29,10 @@
     readonly getFitness: () => Fitness;
     /** True when neither another entry nor control is connected: probably this entry is the partitioned one. */
     readonly isIsolated: () => boolean;
-    /** True when every entry of the zone that control knows of is connected. */
-    readonly areAllEntriesConnected: () => boolean;
+    /** True when this entry has all connections to other entries that it needs. */
+    readonly areNeededEntriesConnected: () => boolean;
+    /** True while it is not known yet whether an entry can be reached that may own the workers or claim first. */
+    readonly isAwaitingEntries: () => boolean;
     readonly clock: Clock;
     readonly logger: Logger;
     /** Called when this entry's claim changes; 0 means no claim. */
@@ -138,7 +138,7 @@
         const equals = candidates.filter(candidate => ranks[candidate.fitness] === rank);
         const isPreferred = rank >= getHighestRank(candidates) && equals.every(candidate => selfId < candidate.id);
         const isTooEarly = now < this.yieldsUntil || now - this.ownerlessSince < this.getClaimDelay();
-        if (!isPreferred || isTooEarly) {
+        if (!isPreferred || isTooEarly || this.options.isAwaitingEntries()) {
             return;
         }
         const fromClock = Math.floor(clock.wallNow()) * tokensPerMillisecond;
@@ -164,7 +164,7 @@
         if (this.highestSeenClaim > 0) {
             return 0;
         }
-        return this.options.areAllEntriesConnected() ? connectedElectionSettlingMs : electionSettlingMs;
+        return this.options.areNeededEntriesConnected() ? connectedElectionSettlingMs : electionSettlingMs;
     }
 
     private setClaim(claim: number, reason: string): void {
--- a/packages/dispatch/tests/ZoneElection.test.ts
+++ b/packages/dispatch/tests/ZoneElection.test.ts
@@ -10,7 +10,8 @@
     candidates: readonly Candidate[] = [];
     fitness: Fitness = "ready";
     isIsolated = false;
-    areAllEntriesConnected = false;
+    areNeededEntriesConnected = false;
+    isAwaitingEntries = false;
 
     constructor(readonly id: string, readonly time: VirtualTime, number = 1) {
         this.election = new ZoneElection({
@@ -19,7 +20,8 @@
             getCandidates: () => this.candidates,
             getFitness: () => this.fitness,
             isIsolated: () => this.isIsolated,
-            areAllEntriesConnected: () => this.areAllEntriesConnected,
+            areNeededEntriesConnected: () => this.areNeededEntriesConnected,
+            isAwaitingEntries: () => this.isAwaitingEntries,
             clock: time,
             logger: newSilentLogger(),
             onClaim: () => undefined,
@@ -47,7 +49,7 @@
     test("an entry connected to its whole zone claims sooner, after a short delay for an existing owner", async () => {
         const time = new VirtualTime();
         const entry = new Entry("a", time);
-        entry.areAllEntriesConnected = true;
+        entry.areNeededEntriesConnected = true;
         entry.candidates = [ready("b")];
         await time.advance(60);
         expect(entry.election.claim).toBe(0);
@@ -67,6 +69,17 @@
         expect(entry.election.isOwner).toBe(true);
     });
 
+    test("an entry does not claim while it awaits one that may come before it", async () => {
+        const time = new VirtualTime();
+        const entry = new Entry("b", time);
+        entry.isAwaitingEntries = true;
+        await time.advance(2_000);
+        expect(entry.election.claim).toBe(0);
+        entry.isAwaitingEntries = false;
+        await time.advance(100);
+        expect(entry.election.isOwner).toBe(true);
+    });
+
     test("the higher of two claims takes precedence", async () => {
         const time = new VirtualTime();
         const entry = new Entry("a", time);
--- a/packages/fleet/src/ConfigurationFetch.ts
+++ b/packages/fleet/src/ConfigurationFetch.ts
@@ -57,6 +57,11 @@
         this.requestNext();
     }
 
+    /** True while a configuration was requested from this control instance and has not arrived. */
+    isAwaiting(control: Address): boolean {
+        return control === this.source;
+    }
+
     /** Time since the latest request. */
     get elapsed(): Milliseconds {
         return this.options.clock.now() - this.requestedAt;
--- a/packages/fleet/src/ControlHub.ts
+++ b/packages/fleet/src/ControlHub.ts
@@ -123,6 +123,7 @@
         this.entries.add(entry);
         return {
             onMessage: message => this.receive(entry, message),
+            isUrgent: () => false,
             onClose: reason => {
                 this.entries.delete(entry);
                 const { member } = entry;
--- a/packages/fleet/src/ControlLinks.ts
+++ b/packages/fleet/src/ControlLinks.ts
@@ -3,7 +3,7 @@
  * owners of all zones and configurations.
  */
 
-import type { Address } from "@anvilmux/common";
+import type { Address, Milliseconds } from "@anvilmux/common";
 import type { WorkerAnnouncement } from "@anvilmux/dispatch";
 import { Link } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment } from "@anvilmux/links";
@@ -19,6 +19,8 @@
     readonly onMembers: (members: readonly EntryMember[]) => void;
     /** This entry's ownership claim on the workers of its zone; 0 means none. */
     readonly getClaim: () => number;
+    /** True while this entry has to know soon whether control can be reached. */
+    readonly isUrgent: () => boolean;
     /** The owners of all zones as last reported by each control instance, including disconnected instances. */
     readonly onOwners: (owners: readonly ZoneOwner[]) => void;
     readonly onWorkers: (workers: readonly WorkerAnnouncement[]) => void;
@@ -50,6 +52,12 @@
         return [...this.links.values()].filter(link => link.isOpen).length;
     }
 
+    /** True when a control instance was heard within the last `period`. */
+    isHeardWithin(period: Milliseconds): boolean {
+        const since = this.options.environment.clock.now() - period;
+        return [...this.links.values()].some(link => (link.lastReceivedAt ?? -Infinity) >= since);
+    }
+
     /** True when a control instance is connected and every connected one has sent the members of the zone. */
     get areMembersReported(): boolean {
         return this.openCount > 0 && this.openCount === this.membersReportedBy.size;
@@ -88,6 +96,7 @@
                 link.send({ type: "claim", claim: this.options.getClaim() });
             },
             onMessage: message => this.receive(link, message),
+            isUrgent: () => this.options.isUrgent() || this.fetch.isAwaiting(address),
             onClose: reason => {
                 this.membersReportedBy.delete(address);
                 this.fetch.handleDisconnected(address);
--- a/packages/fleet/src/OwnerLinks.ts
+++ b/packages/fleet/src/OwnerLinks.ts
@@ -12,6 +12,8 @@
     readonly environment: LinkEnvironment;
     readonly onAnswer: (zone: string, id: JobId, answer: JobAnswer, submission: number | undefined) => void;
     readonly onOwnerDisconnected: (zone: string) => void;
+    /** True while tasks of this zone are in another zone, or the reverse. */
+    readonly hasRemoteTasks: () => boolean;
 }
 
 interface RemoteOwner {
@@ -65,6 +67,7 @@
                 link.send({ type: "zone-owner", id: self.id, zone: self.zone });
             },
             onMessage: message => this.receive(zone, message),
+            isUrgent: this.options.hasRemoteTasks,
             onClose: reason => {
                 environment.logger.warn("owner of another zone disconnected", { toZone: zone, reason });
                 this.options.onOwnerDisconnected(zone);
--- /dev/null
+++ b/packages/fleet/src/ZonePeers.ts
@@ -0,0 +1,385 @@
+/**
+ * The connections between the entries of a zone, over which they report their state, submit jobs to the owner of the workers and make
+ * calls for it. Each entry is connected to the owner and to the leading entries; the owner to all. A pair has
+ * one connection, opened by the entry that comes later in the order of ids. The server also accepts connections from
+ * the owners of other zones.
+ */
+
+import type { Clock } from "@anvilmux/common";
+import type { Candidate, Fitness, FreeCapacity, WorkerAnnouncement } from "@anvilmux/dispatch";
+import { connectTimeoutMs, Link, LinkServer } from "@anvilmux/links";
+import type { ChannelChecker, LinkConnection, LinkEnvironment, OpenSocket, Session } from "@anvilmux/links";
+import type { EntryMember, PeerMessage } from "./messages";
+import { newZonePeer } from "./ZonePeer";
+import type { PeerConnection, ZonePeer } from "./ZonePeer";
+import { getLeadingEntries } from "./zoneStructure";
+import type { StructuredEntry } from "./zoneStructure";
+
+export interface ZonePeersOptions {
+    readonly self: EntryMember;
+    readonly host: string;
+    readonly port: number;
+    readonly checker: ChannelChecker;
+    readonly environment: LinkEnvironment;
+    /** Opens TCP connections when absent. */
+    readonly openSocket?: OpenSocket;
+    readonly getState: () => { readonly claim: number; readonly fitness: Fitness; };
+    /** The owner of the zone's workers, as known to this entry. */
+    readonly getOwnerId: () => string | undefined;
+    /** True while jobs of this entry are at the peer, or jobs that came over the connection are here. */
+    readonly hasOpenJobs: (peerId: string | undefined, submitterKey: string) => boolean;
+    /** Called when an entry connected, disconnected or reported its state. */
+    readonly onChange: () => void;
+    readonly getWorkers: () => readonly WorkerAnnouncement[];
+    readonly onWorkers: (workers: readonly WorkerAnnouncement[]) => void;
+    /** Called for any other message; `peerId` is undefined for the owner of another zone. */
+    readonly onMessage: (message: PeerMessage, connection: PeerConnection, peerId: string | undefined) => void;
+    /** Called when the connection to a peer was lost; messages sent on it may not have arrived. */
+    readonly onPeerDisconnected: (peerId: string) => void;
+    readonly onSubmitterDisconnected: (submitterKey: string) => void;
+}
+
+/** Time without a connection after which the next member list removes a peer. */
+const peerRetentionMs = 60_000;
+/** Time for which a connection that this entry no longer needs is kept. */
+const unneededRetentionMs = 10_000;
+/** Time for which an entry without a configuration counts as about to get one. */
+const unfitGraceMs = 2_000;
+
+export class ZonePeers {
+    private readonly peers = new Map<string, ZonePeer>();
+    private server: LinkServer<PeerMessage, PeerMessage> | undefined;
+    /** Open connections on which this entry has sent its state. */
+    private readonly informed = new Set<PeerConnection>();
+    /** Connections from owners of other zones. */
+    private readonly remoteOwners = new Set<PeerConnection>();
+    /** The owner and the leading entries, which detect each other's failures soon. */
+    private central: ReadonlySet<string> = new Set();
+    private reportedOwner: EntryMember | undefined;
+    private connectionCount = 0;
+    private isStopped = false;
+    private readonly clock: Clock;
+
+    constructor(private readonly options: ZonePeersOptions) {
+        this.clock = options.environment.clock;
+    }
+
+    async start(): Promise<void> {
+        const { host, port, checker, environment } = this.options;
+        this.server = await LinkServer.listen<PeerMessage, PeerMessage>(environment, {
+            host,
+            port,
+            checker,
+            accept: connection => this.accept(connection),
+        });
+    }
+
+    stop(): void {
+        this.isStopped = true;
+        this.server?.close();
+        this.peers.forEach(peer => peer.link?.stop());
+    }
+
+    /** The connected entries with the states that they reported. */
+    getCandidates(): readonly Candidate[] {
+        return [...this.peers.values()].flatMap(peer => peer.connection?.state ?? []);
+    }
+
+    /** True when this entry has all the connections that it needs. */
+    areNeededPeersConnected(): boolean {
+        return [...this.peers.values()].every(peer => peer.wantedSince === undefined || peer.connection !== undefined);
+    }
+
+    /** True while it is not known yet whether a peer can be reached that owns the workers or comes before this entry. */
+    isAwaitingPeers(): boolean {
+        return [...this.peers.values()].some(peer => this.isAwaited(peer));
+    }
+
+    /** Sends a message; false when the peer is not connected. */
+    send(peerId: string, message: PeerMessage): boolean {
+        const connection = this.peers.get(peerId)?.connection;
+        connection?.send(message);
+        return connection !== undefined;
+    }
+
+    /** Records the new entries of this zone in a member list, and removes peers disconnected for too long. */
+    handleMembers(members: readonly EntryMember[]): void {
+        members.forEach(member => this.recordMember(member));
+        this.removeDisconnectedPeers();
+        this.review();
+    }
+
+    /** Records the owner of this zone's workers that control reports, if any. */
+    handleReportedOwner(owner: EntryMember | undefined): void {
+        this.reportedOwner = owner;
+        if (owner) {
+            this.recordMember(owner);
+        }
+        this.review();
+    }
+
+    /** Opens the connections that this entry needs, and closes those that it has not needed for a while. */
+    review(): void {
+        if (this.isStopped) {
+            return;
+        }
+        const needed = this.determineNeededPeers();
+        const now = this.clock.now();
+        for (const peer of this.peers.values()) {
+            if (needed.has(peer.id)) {
+                peer.wantedSince ??= now;
+                peer.wantedUntil = now;
+                peer.link ??= this.isOpenedHere(peer.id) ? this.connect(peer.member) : undefined;
+            }
+            else {
+                peer.wantedSince = undefined;
+                if (peer.link && now - peer.wantedUntil > unneededRetentionMs) {
+                    this.disconnect(peer);
+                }
+            }
+        }
+    }
+
+    /** Sends this entry's state to every peer that has an earlier one. */
+    announceState(): void {
+        this.informed.forEach(connection => connection.send(this.getStateMessage()));
+    }
+
+    /** Reports the free capacity of this zone to the owners of other zones. */
+    announceFreeCapacity(free: FreeCapacity): void {
+        this.remoteOwners.forEach(connection => connection.send({ type: "room", free }));
+    }
+
+    private determineNeededPeers(): ReadonlySet<string> {
+        const { self, getOwnerId } = this.options;
+        const order = [...this.peers.values()].map(peer => this.toStructured(peer));
+        order.push({ id: self.id, isUnreachable: false, isIneligible: this.options.getState().fitness === "leaving" });
+        order.sort((one, other) => one.id < other.id ? -1 : 1);
+        const needed = new Set(getLeadingEntries(order).map(({ id }) => id));
+        const ownerId = getOwnerId();
+        if (ownerId !== undefined) {
+            needed.add(ownerId);
+        }
+        this.central = new Set(needed);
+        if (this.reportedOwner) {
+            needed.add(this.reportedOwner.id);
+        }
+        if (ownerId === self.id) {
+            this.peers.forEach(peer => needed.add(peer.id));
+        }
+        return needed;
+    }
+
+    private toStructured(peer: ZonePeer): StructuredEntry {
+        const { connection } = peer;
+        const fitness = connection?.state?.fitness;
+        const isUnfit = fitness === "unfit" && this.clock.now() - (connection?.fitnessSince ?? 0) > unfitGraceMs;
+        return {
+            id: peer.id,
+            isUnreachable: peer.isUnreachable && connection === undefined,
+            isIneligible: fitness === "leaving" || isUnfit,
+        };
+    }
+
+    private isOpenedHere(peerId: string): boolean {
+        return peerId < this.options.self.id;
+    }
+
+    private isAwaited(peer: ZonePeer): boolean {
+        if (peer.wantedSince === undefined || peer.connection) {
+            return false;
+        }
+        if (this.isOpenedHere(peer.id)) {
+            return !peer.isUnreachable;
+        }
+        return peer.id === this.reportedOwner?.id && this.clock.now() - peer.wantedSince < connectTimeoutMs;
+    }
+
+    private recordMember(member: EntryMember): void {
+        const { self } = this.options;
+        const present = this.peers.get(member.id);
+        if (member.id === self.id || member.zone !== self.zone) {
+            return;
+        }
+        if (!present) {
+            this.peers.set(member.id, newZonePeer(member, this.clock.now()));
+        }
+        else if (present.member.incarnation < member.incarnation) {
+            present.member = member;
+            present.isUnreachable = false;
+            this.disconnect(present);
+        }
+    }
+
+    private disconnect(peer: ZonePeer): void {
+        const { link } = peer;
+        peer.link = undefined;
+        link?.stop();
+    }
+
+    private sendState(connection: PeerConnection): void {
+        this.informed.add(connection);
+        connection.send(this.getStateMessage());
+    }
+
+    private getStateMessage(): PeerMessage {
+        const knownWorkers = this.options.getWorkers().length;
+        return { type: "state", member: this.options.self, ...this.options.getState(), knownWorkers };
+    }
+
+    private connect(member: EntryMember): Link<PeerMessage, PeerMessage> {
+        const { environment, checker, openSocket } = this.options;
+        let session: Session<PeerMessage> | undefined;
+        return new Link<PeerMessage, PeerMessage>(environment, {
+            address: member.address,
+            checker,
+            openSocket,
+            onOpen: connection => {
+                session = this.newSession(connection, member.id);
+            },
+            onMessage: message => session?.onMessage(message),
+            onClose: reason => session?.onClose(reason),
+            onUnreachable: () => this.handleUnreachable(member.id),
+            isUrgent: () => session?.isUrgent?.() ?? true,
+        });
+    }
+
+    /** Handles a connection that another entry opened. */
+    accept(connection: LinkConnection<PeerMessage>): Session<PeerMessage> {
+        return this.newSession(connection, undefined);
+    }
+
+    /** `peerId` is undefined for an accepted connection, until the peer has reported its state. */
+    private newSession(
+        { send, close }: LinkConnection<PeerMessage>,
+        openedPeerId: string | undefined,
+    ): Session<PeerMessage> {
+        this.connectionCount += 1;
+        const connection: PeerConnection = {
+            number: this.connectionCount,
+            send,
+            close,
+            submitterKey: `${this.connectionCount}`,
+            state: undefined,
+            fitnessSince: this.clock.now(),
+        };
+        let peerId = openedPeerId;
+        if (openedPeerId !== undefined) {
+            this.sendState(connection);
+        }
+        return {
+            onMessage: message => {
+                switch (message.type) {
+                    case "state":
+                        peerId = message.member.id;
+                        this.handleState(message, connection, openedPeerId === undefined);
+                        return;
+                    case "workers":
+                        this.options.onWorkers(message.workers);
+                        return;
+                    case "zone-owner":
+                        connection.submitterKey = `${message.zone}/${message.id}#${connection.number}`;
+                        this.remoteOwners.add(connection);
+                        return;
+                    default:
+                        this.options.onMessage(message, connection, peerId);
+                }
+            },
+            onClose: reason => this.handleClosed(connection, peerId, reason),
+            isUrgent: () => this.isUrgent(connection, peerId),
+        };
+    }
+
+    private handleState(
+        state: Extract<PeerMessage, { type: "state"; }>,
+        connection: PeerConnection,
+        isAccepted: boolean,
+    ): void {
+        const peer = this.recordConnected(state.member);
+        const isFirst = connection.state === undefined;
+        if (isFirst || connection.state?.fitness !== state.fitness) {
+            connection.fitnessSince = this.clock.now();
+        }
+        const { member, claim, fitness } = state;
+        connection.state = { id: member.id, claim, fitness };
+        if (isFirst) {
+            this.handleConnected(peer, connection);
+            if (isAccepted) {
+                this.sendState(connection);
+            }
+            const workers = this.options.getWorkers();
+            if (workers.length > state.knownWorkers) {
+                connection.send({ type: "workers", workers });
+            }
+        }
+        this.review();
+        this.options.onChange();
+    }
+
+    /** The peer that reports its state; control may not have announced it, or its present incarnation, yet. */
+    private recordConnected(member: EntryMember): ZonePeer {
+        const peer = this.peers.get(member.id) ?? newZonePeer(member, this.clock.now());
+        this.peers.set(member.id, peer);
+        if (member.incarnation > peer.member.incarnation) {
+            peer.member = member;
+        }
+        return peer;
+    }
+
+    /** A newer connection replaces the one before, on which messages may have been lost. */
+    private handleConnected(peer: ZonePeer, connection: PeerConnection): void {
+        const former = peer.connection;
+        peer.connection = connection;
+        peer.isUnreachable = false;
+        connection.submitterKey = `${peer.id}#${connection.number}`;
+        this.options.environment.logger.info("entry connected", { peer: peer.id });
+        if (former && former !== connection) {
+            former.close("replaced by a newer connection");
+            this.options.onPeerDisconnected(peer.id);
+        }
+    }
+
+    private handleClosed(connection: PeerConnection, peerId: string | undefined, reason: string): void {
+        this.remoteOwners.delete(connection);
+        this.informed.delete(connection);
+        this.options.onSubmitterDisconnected(connection.submitterKey);
+        const peer = peerId === undefined ? undefined : this.peers.get(peerId);
+        if (!peer || (peer.connection && peer.connection !== connection)) {
+            return;
+        }
+        this.options.environment.logger.warn("entry disconnected", { peer: peer.id, reason });
+        peer.connection = undefined;
+        peer.disconnectedSince = this.clock.now();
+        // A connection that this entry itself no longer needs tells nothing of the peer.
+        peer.isUnreachable = peer.link !== undefined || !this.isOpenedHere(peer.id);
+        this.options.onPeerDisconnected(peer.id);
+        this.review();
+        this.options.onChange();
+    }
+
+    private handleUnreachable(peerId: string): void {
+        const peer = this.peers.get(peerId);
+        if (peer && !peer.isUnreachable) {
+            peer.isUnreachable = true;
+            this.review();
+            this.options.onChange();
+        }
+    }
+
+    private isUrgent(connection: PeerConnection, peerId: string | undefined): boolean {
+        const { self, hasOpenJobs } = this.options;
+        const isCentral = peerId !== undefined && this.central.has(self.id) && this.central.has(peerId);
+        return connection.state === undefined && !this.remoteOwners.has(connection) || isCentral
+            || hasOpenJobs(peerId, connection.submitterKey);
+    }
+
+    private removeDisconnectedPeers(): void {
+        const now = this.clock.now();
+        for (const peer of [...this.peers.values()]) {
+            if (!peer.connection && now - peer.disconnectedSince > peerRetentionMs) {
+                this.peers.delete(peer.id);
+                this.disconnect(peer);
+            }
+        }
+    }
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,4 +4,6 @@
 export * from "./messages";
 export * from "./OwnerLinks";
 export * from "./WorkerDirectory";
-export * from "./ZoneMesh";
+export * from "./ZonePeer";
+export * from "./ZonePeers";
+export * from "./zoneStructure";
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -45,17 +45,20 @@
     | { readonly type: "configuration"; readonly index: number; readonly envelope: string; }
     | { readonly type: "workers"; readonly workers: readonly WorkerAnnouncement[]; };
 
-/** Messages from the entry that opened the connection. */
+/** Messages on the connection between two entries of a zone, whichever of them opened it. */
+export type PeerMessage = ToPeer | FromPeer;
+
+/** Messages to an entry of the zone, or to the owner of another zone. */
 export type ToPeer =
     | {
         readonly type: "state";
-        readonly id: string;
-        readonly incarnation: number;
+        readonly member: EntryMember;
         readonly claim: number;
         readonly fitness: Fitness;
-        readonly isRelay?: boolean;
+        /** Number of workers that the sender knows, so that the one that knows more sends its own. */
+        readonly knownWorkers: number;
     }
-    /** The zone's workers known to the sender, for an entry that has just started. */
+    /** The zone's workers known to the sender, for an entry that knows fewer. */
     | { readonly type: "workers"; readonly workers: readonly WorkerAnnouncement[]; }
     /** First message on a connection between the owners of two zones. */
     | { readonly type: "zone-owner"; readonly id: string; readonly zone: string; }
@@ -72,7 +75,7 @@
     /** A call to a worker that the receiver makes for the sender, the owner of the zone's workers. */
     | { readonly type: "worker-call"; } & NumberedWorkerCall;
 
-/** Messages to the entry that opened the connection. */
+/** Messages to the entry that submitted a job or asked for a call. */
 export type FromPeer =
     | { readonly type: "answer"; readonly id: JobId; readonly submission?: number; readonly answer: JobAnswer; }
     /** Tasks of the job will be forwarded to another zone once the submitter has acknowledged with `away-known`. */
--- a/packages/fleet/tests/ControlHub.test.ts
+++ b/packages/fleet/tests/ControlHub.test.ts
@@ -61,6 +61,7 @@
             getConfigurationIndex: () => this.configurationIndex,
             onMembers: members => this.members = members,
             getClaim: () => this.claim,
+            isUrgent: () => false,
             onOwners: owners => this.owners = owners,
             onWorkers: workers => this.workers.push(...workers),
             onConfiguration: (index, envelope) => {
