Election: fewer equal fencing tokens among entries that claim at the same time

Workers obey both owners until one yields. Change: 65,536 numbers in each 16 ms, in the same range of tokens. Two that claim at once are equal once in 65,536 times instead of 4,096; the smaller id still takes precedence then.

--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -22,7 +22,7 @@
 
 export interface ZoneElectionOptions {
     readonly selfId: string;
-    /** Distinguishes this entry's tokens from those of others that claim in the same millisecond. */
+    /** Distinguishes this entry's tokens from those of others that claim at about the same time. */
     readonly selfNumber: number;
     /** The entries that are connected now, without this one. */
     readonly getCandidates: () => readonly Candidate[];
@@ -40,7 +40,10 @@
     readonly onOwner: (ownerId: string | undefined) => void;
 }
 
-const tokensPerMillisecond = 4_096;
+/** Number of tokens in a period of wall time, from which each entry takes one of its own. */
+const tokensPerPeriod = 65_536;
+const tokenPeriodMs = 16;
+const tokensPerMillisecond = tokensPerPeriod / tokenPeriodMs;
 /** Half of the first increase of a refused token, in milliseconds; each further increase is twice the last. */
 const firstTokenStepMs = 1_000;
 /** Time an isolated entry waits before it claims, and after it had to yield. */
@@ -141,13 +144,13 @@
         if (!isPreferred || isTooEarly || this.options.isAwaitingEntries()) {
             return;
         }
-        const fromClock = Math.floor(clock.wallNow()) * tokensPerMillisecond;
-        const base = Math.max(fromClock, this.highestSeenClaim + tokensPerMillisecond);
-        const token = base - base % tokensPerMillisecond + this.options.selfNumber % tokensPerMillisecond;
+        const fromClock = Math.floor(clock.wallNow() / tokenPeriodMs) * tokensPerPeriod;
+        const base = Math.max(fromClock, this.highestSeenClaim + tokensPerPeriod);
+        const token = base - base % tokensPerPeriod + this.options.selfNumber % tokensPerPeriod;
         this.setClaim(token, "no connected entry claims ownership");
     }
 
-    /** Two entries that claim in the same millisecond can have equal tokens; the smaller id takes precedence. */
+    /** Two entries that claim at about the same time can have equal tokens; the smaller id takes precedence. */
     private isSupersededBy(other: Candidate): boolean {
         return other.claim > this.claimed || (other.claim === this.claimed && other.id < this.options.selfId);
     }
