--- a/packages/control/src/ConfigurationHolder.ts
+++ b/packages/control/src/ConfigurationHolder.ts
@@ -6,10 +6,7 @@
 import { getErrorMessage, getSha256 } from "@anvilmux/common";
 import type { Address, Timers, Unsubscribe } from "@anvilmux/common";
 import type { Caller, Manifest, ManifestAuthority, Service, WorkKind } from "@anvilmux/manifest";
-import type { FetchConfigurationReply } from "@anvilmux/protocol";
-import { FetchConfigurationReplySchema } from "@anvilmux/protocol";
 import type { Logger } from "@anvilmux/telemetry";
-import { create } from "@bufbuild/protobuf";
 import Emittery from "emittery";
 
 /** A configuration with look-up tables. */
@@ -31,12 +28,18 @@
     readonly configurationIndex: number;
 }
 
+/** A peer's answer to a fetch; the envelope is empty unless it is newer than the index that the fetch named. */
+export interface FetchedConfiguration {
+    readonly index: bigint;
+    readonly envelope: Uint8Array;
+}
+
 export interface ConfigurationHolderOptions {
     readonly authority: ManifestAuthority;
     readonly timers: Timers;
     readonly logger: Logger;
     readonly getPeers: () => readonly ConfigurationPeer[];
-    readonly fetch: (address: Address, knownIndex: bigint) => Promise<FetchConfigurationReply>;
+    readonly fetch: (address: Address, knownIndex: bigint) => Promise<FetchedConfiguration>;
 }
 
 export interface ConfigurationEvents {
@@ -102,12 +105,9 @@
     }
 
     /** Answers a peer's fetch. The envelope is included only if it is newer than the peer's configuration. */
-    handleFetch(knownIndex: bigint): FetchConfigurationReply {
+    handleFetch(knownIndex: bigint): FetchedConfiguration {
         const isNewer = this.current !== undefined && BigInt(this.current.index) > knownIndex;
-        return create(FetchConfigurationReplySchema, {
-            index: BigInt(this.index),
-            envelope: isNewer ? this.current!.envelope : new Uint8Array(),
-        });
+        return { index: BigInt(this.index), envelope: isNewer ? this.current!.envelope : new Uint8Array() };
     }
 
     /** Fetches the configuration of the peer with the highest index, if it is newer than the local one. */
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -1,23 +1,19 @@
 /** Counters, gauges and latency histograms, exported in the Prometheus text format. */
 
-import { build } from "hdr-histogram-js";
 import type { Histogram } from "hdr-histogram-js";
+import histogramModule from "hdr-histogram-js/dist/Int32Histogram.js";
 
 export type Labels = Readonly<Record<string, string>>;
 
 const microsecondsPerMillisecond = 1_000;
+const lowestMicroseconds = 1;
 const highestMicroseconds = 600_000_000;
+const significantDigits = 3;
 const exportedQuantiles = [0.5, 0.9, 0.99, 0.999];
 
 /** A histogram of durations with microsecond resolution and three significant digits. */
 export const newLatencyHistogram = (): Histogram =>
-    build({
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: highestMicroseconds,
-        numberOfSignificantValueDigits: 3,
-        bitBucketSize: 32,
-        useWebAssembly: false,
-    });
+    new histogramModule.default(lowestMicroseconds, highestMicroseconds, significantDigits);
 
 /** Records a duration given in milliseconds. */
 export const recordMilliseconds = (histogram: Histogram, milliseconds: number): void => {
