npm start prints no warning: one signal ends all calls to a worker; the load report is published once

Cause of MaxListenersExceededWarning: all calls in progress to a worker listen to the signal that ends them, more than ten at a time. The free slots were published twice a second, once by a timer that nobody stopped: removed; the service that reports the load stays.

--- a/packages/anvilmux/src/services/entry.ts
+++ b/packages/anvilmux/src/services/entry.ts
@@ -122,11 +122,6 @@
         network: kernel.get(networkToken),
     });
     slots.start();
-    const membership = kernel.get(membershipToken);
-    kernel.get(timersToken).every(
-        loadPeriodMs,
-        () => membership.publish(loadRecordKey, slots.getFreeSlots(), false, false),
-    );
     return slots;
 };
 
--- a/packages/jobs/src/WorkerLink.ts
+++ b/packages/jobs/src/WorkerLink.ts
@@ -7,6 +7,7 @@
 import type { Timers } from "@anvilmux/common";
 import type { WorkerAnnouncement } from "@anvilmux/membership";
 import type { Logger } from "@anvilmux/telemetry";
+import { setMaxListeners } from "node:events";
 import { Pool } from "undici";
 import * as z from "zod";
 import { leaseRenewalMs, maximumResultBytes, ownerLeaseMs, workerCallTimeoutMs } from "./constants";
@@ -41,6 +42,7 @@
 
 export class WorkerLink {
     private readonly pool: Pool;
+    /** Ends all calls to the worker, each of which listens to it. */
     private readonly abort = new AbortController();
     private epoch = 0;
     private held = false;
@@ -52,6 +54,8 @@
             headersTimeout: 0,
             bodyTimeout: 0,
         });
+        // As many calls may be in progress as the owner has tasks for the worker.
+        setMaxListeners(0, this.abort.signal);
     }
 
     get announcement(): WorkerAnnouncement {
