Dispatch: a run that another owner started is found in a list although an earlier run of its task is known

The list showed the second owner's run of the same task; as a run of that task was known, it was ignored, the known one was missing and counted as lost, and the task was placed on another worker. A trusted older list, which was suspected, has no part in it. Change: a listed run with a higher number ends the known run and is found, before anything is placed.

--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -86,6 +86,11 @@
             if (!record) {
                 this.addFoundRun(item.task, item.run);
             }
+            else if (record.run < item.run) {
+                // Another owner started the task again after this one's run had ended.
+                this.options.onEnd(record, "lost");
+                this.addFoundRun(item.task, item.run);
+            }
             else if (record.run === item.run) {
                 record.state = "running";
                 record.confirmedAt = this.options.clock.now();
--- a/packages/dispatch/tests/truthfulAnswers.test.ts
+++ b/packages/dispatch/tests/truthfulAnswers.test.ts
@@ -15,10 +15,13 @@
         expect(simulation.records.findFalseRefusals()).toEqual([]);
     });
 
-    test.each(newSeeds(20, 60))("no task runs twice at once, with prompt messages (seed %i)", async seed => {
-        const simulation = new DispatchSimulation({ seed, ...promptMessages });
-        await simulation.run();
-        expect(simulation.records.findFalseRefusals()).toEqual([]);
-        expect(simulation.records.doubleRuns).toEqual([]);
-    });
+    test.each([...newSeeds(20, 60), 218, 256])(
+        "no task runs twice at once, with prompt messages (seed %i)",
+        async seed => {
+            const simulation = new DispatchSimulation({ seed, ...promptMessages });
+            await simulation.run();
+            expect(simulation.records.findFalseRefusals()).toEqual([]);
+            expect(simulation.records.doubleRuns).toEqual([]);
+        },
+    );
 });
