Links: a message that cannot be handled closes its connection, not the process

Report of other operators: one malformed message took a whole process down. Here a line such as 'null', or a message that lacks a field that its type promises, threw in the handler of the socket's data, which ends the process. Change: a line has to be an object with a type, and an error while a message is handled closes the connection with a reason that is logged. Tests: six such lines, and a handler that throws; seven fail before.

--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -5,7 +5,7 @@
  * answer or a decision depends on the peer, and later otherwise.
  */
 
-import { getErrorMessage } from "@anvilmux/common";
+import { getErrorMessage, safeParseJson } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import type { Socket } from "node:net";
 import { StringDecoder } from "node:string_decoder";
@@ -32,6 +32,8 @@
 /** Asks the peer for `heartbeatLine`. */
 const probeLine = "?";
 const heartbeatLine = "";
+/** Length of the part of an unreadable line that is logged. */
+const loggedCharacters = 80;
 
 export class Channel<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
     private readonly decoder = new StringDecoder("utf8");
@@ -153,14 +155,23 @@
     }
 
     private deliver(line: string): void {
-        let message: Incoming;
+        const message = parseMessage<Incoming>(line);
+        if (!message) {
+            this.close(`unreadable line: ${line.slice(0, loggedCharacters)}`);
+            return;
+        }
         try {
-            message = JSON.parse(line) as Incoming;
+            this.listener.onMessage(message);
         }
         catch (error) {
-            this.close(`unreadable line: ${getErrorMessage(error)}`);
-            return;
+            // A message of another release or program may lack what its type promises.
+            this.close(`message "${message.type}" failed: ${getErrorMessage(error)}`);
         }
-        this.listener.onMessage(message);
     }
 }
+
+/** Undefined unless the line is an object with a type. */
+const parseMessage = <Message extends LinkMessage>(line: string): Message | undefined => {
+    const value = safeParseJson(line) as { readonly type?: unknown; } | null | undefined;
+    return typeof value?.type === "string" ? value as Message : undefined;
+};
--- a/packages/links/tests/Channel.test.ts
+++ b/packages/links/tests/Channel.test.ts
@@ -8,7 +8,7 @@
     idleHeartbeatPeriodMs,
     idleHeartbeatTimeoutMs,
 } from "@anvilmux/links";
-import type { LinkMessage } from "@anvilmux/links";
+import type { ChannelListener, LinkMessage } from "@anvilmux/links";
 import { EventEmitter } from "node:events";
 import type { Socket } from "node:net";
 
@@ -34,15 +34,15 @@
     readonly text: string;
 }
 
-const newFixture = (options: { readonly isUrgent?: () => boolean; } = {}) => {
+const newFixture = (options: Partial<ChannelListener<TextMessage>> = {}) => {
     const time = new VirtualTime();
     const socket = new FakeSocket();
     const received: TextMessage[] = [];
     const closed: string[] = [];
     const channel = new Channel<TextMessage, TextMessage>(socket as unknown as Socket, time, {
-        ...options,
         onMessage: message => received.push(message),
         onClose: reason => closed.push(reason),
+        ...options,
     });
     const stalls: number[] = [];
     const checker = new ChannelChecker(time, time, stall => stalls.push(stall));
@@ -123,6 +123,26 @@
         expect(received).toEqual([]);
     });
 
+    test.each(["null", "3", "[]", "\"text\"", "{}", "{\"type\":1}"])(
+        "a line that is not a message closes the channel: %s",
+        async line => {
+            const { socket, closed, received } = newFixture();
+            socket.emit("data", Buffer.from(`${line}\n`));
+            expect(closed[0]).toContain("unreadable");
+            expect(received).toEqual([]);
+        },
+    );
+
+    test("a message that cannot be handled closes the channel, and the process goes on", async () => {
+        const { socket, closed } = newFixture({
+            onMessage: () => {
+                throw new TypeError("a field is missing");
+            },
+        });
+        socket.emit("data", Buffer.from("{\"type\":\"note\"}\n{\"type\":\"note\"}\n"));
+        expect(closed).toEqual(["message \"note\" failed: a field is missing"]);
+    });
+
     test("the channel is closed when the peer does not read", async () => {
         const { time, socket, closed, channel } = newFixture();
         socket.writableLength = 1_000_000_000;
