--- a/packages/fleet/src/WorkerDirectory.ts
+++ b/packages/fleet/src/WorkerDirectory.ts
@@ -51,11 +51,12 @@
     }
 }
 
+/** A worker that left keeps the sequence number of its last announcement, which may arrive once more after that. */
 const isNewer = (candidate: WorkerAnnouncement, present: WorkerAnnouncement): boolean =>
     candidate.incarnation > present.incarnation
     || (candidate.incarnation === present.incarnation
         && (candidate.sequence > present.sequence
-            || (candidate.sequence === present.sequence && candidate.state !== present.state)));
+            || (candidate.sequence === present.sequence && candidate.state === "left" && present.state !== "left")));
 
 const hasSameContent = (left: WorkerAnnouncement, right: WorkerAnnouncement): boolean =>
     left.incarnation === right.incarnation
--- a/packages/fleet/tests/WorkerDirectory.test.ts
+++ b/packages/fleet/tests/WorkerDirectory.test.ts
@@ -43,6 +43,21 @@
         expect(directory.getAll()[0]?.state).toBe("ready");
     });
 
+    test("a worker that left is not added again by its last announcement, repeated", () => {
+        const directory = new WorkerDirectory();
+        directory.record(newAnnouncement({ sequence: 5 }));
+        directory.markLeft(toWorkerId("w1"));
+        expect(directory.record(newAnnouncement({ sequence: 5 }))).toBe(false);
+        expect(directory.getAll()[0]?.state).toBe("left");
+    });
+
+    test("that a worker left is learned from another instance", () => {
+        const directory = new WorkerDirectory();
+        directory.record(newAnnouncement({ sequence: 5 }));
+        expect(directory.record(newAnnouncement({ sequence: 5, state: "left" }))).toBe(true);
+        expect(directory.getAll()[0]?.state).toBe("left");
+    });
+
     test("the newest announcement is kept, whatever the order of arrival", () => {
         const announcement = fc.record({
             incarnation: fc.integer({ min: 1, max: 3 }),
