Zone: an entry does not forget entries that it is not connected to, and one that stops claims nothing

Found by reading the structure's code, then by the simulation. An entry removed every peer without a connection for 60 s at the next member list, although most entries are not connected to each other any longer; until the list after that it did not know them, nor connect to the next ones when the leading entries were lost. And an entry that stopped saw its own connections close, and claimed the workers before its process ended. Change: a peer is removed when it was neither listed nor connected for 60 s; a stopped ZonePeers reports nothing. Test: a zone of 8 entries after 65 s, a restart, then the three leading entries killed while control is down: 5 claims before, 2 now (the first owner's and the next one's), and all are connected to the owner. The simulation's control announces changes only, as the real one does; a further planted fault (claiming while a connection is awaited) is found.

--- a/packages/fleet/src/ZonePeer.ts
+++ b/packages/fleet/src/ZonePeer.ts
@@ -26,7 +26,8 @@
     connection: PeerConnection | undefined;
     /** The last attempt to connect failed, or the connection was closed. */
     isUnreachable: boolean;
-    disconnectedSince: Milliseconds;
+    /** When it was last listed by control, or connected. */
+    knownAt: Milliseconds;
     /** When this entry began to need a connection to the peer; undefined while it needs none. */
     wantedSince: Milliseconds | undefined;
     /** When this entry last needed the connection. */
@@ -39,7 +40,7 @@
     link: undefined,
     connection: undefined,
     isUnreachable: false,
-    disconnectedSince: now,
+    knownAt: now,
     wantedSince: undefined,
     wantedUntil: now,
 });
--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -39,7 +39,7 @@
     readonly onSubmitterDisconnected: (submitterKey: string) => void;
 }
 
-/** Time without a connection after which the next member list removes a peer. */
+/** Time after which the next member list removes a peer that is neither listed nor connected. */
 const peerRetentionMs = 60_000;
 /** Time for which a connection that this entry no longer needs is kept. */
 const unneededRetentionMs = 10_000;
@@ -102,10 +102,10 @@
         return connection !== undefined;
     }
 
-    /** Records the new entries of this zone in a member list, and removes peers disconnected for too long. */
+    /** Records the entries of this zone in a member list, and removes peers that have been gone for too long. */
     handleMembers(members: readonly EntryMember[]): void {
         members.forEach(member => this.recordMember(member));
-        this.removeDisconnectedPeers();
+        this.removeAbsentPeers();
         this.review();
     }
 
@@ -203,8 +203,10 @@
         }
         if (!present) {
             this.peers.set(member.id, newZonePeer(member, this.clock.now()));
+            return;
         }
-        else if (present.member.incarnation < member.incarnation) {
+        present.knownAt = this.clock.now();
+        if (present.member.incarnation < member.incarnation) {
             present.member = member;
             present.isUnreachable = false;
             this.disconnect(present);
@@ -342,6 +344,9 @@
     private handleClosed(connection: PeerConnection, peerId: string | undefined, reason: string): void {
         this.remoteOwners.delete(connection);
         this.informed.delete(connection);
+        if (this.isStopped) {
+            return;
+        }
         this.options.onSubmitterDisconnected(connection.submitterKey);
         const peer = peerId === undefined ? undefined : this.peers.get(peerId);
         if (!peer || (peer.connection && peer.connection !== connection)) {
@@ -349,7 +354,7 @@
         }
         this.options.environment.logger.warn("entry disconnected", { peer: peer.id, reason });
         peer.connection = undefined;
-        peer.disconnectedSince = this.clock.now();
+        peer.knownAt = this.clock.now();
         // A connection that this entry itself no longer needs tells nothing of the peer.
         peer.isUnreachable = peer.link !== undefined || !this.isOpenedHere(peer.id);
         this.options.onPeerDisconnected(peer.id);
@@ -373,10 +378,10 @@
             || hasOpenJobs(peerId, connection.submitterKey);
     }
 
-    private removeDisconnectedPeers(): void {
+    private removeAbsentPeers(): void {
         const now = this.clock.now();
         for (const peer of [...this.peers.values()]) {
-            if (!peer.connection && now - peer.disconnectedSince > peerRetentionMs) {
+            if (!peer.connection && now - peer.knownAt > peerRetentionMs) {
                 this.peers.delete(peer.id);
                 this.disconnect(peer);
             }
--- a/packages/fleet/tests/simulation/ZoneSimulation.ts
+++ b/packages/fleet/tests/simulation/ZoneSimulation.ts
@@ -28,6 +28,8 @@
     isCut: boolean;
     /** Until then control does not know that the process has gone. */
     announcedUntil: Milliseconds;
+    /** What control announced to the process last. */
+    lastAnnounced: string;
     readonly sockets: Set<SimulatedSocket>;
 }
 
@@ -180,6 +182,7 @@
             isFrozen: false,
             isCut: false,
             announcedUntil: 0,
+            lastAnnounced: "",
             sockets: new Set(),
         };
     }
@@ -187,6 +190,7 @@
     private start(machine: Machine): void {
         machine.member = { ...machine.member, incarnation: Math.floor(this.time.wallNow()) };
         machine.announcedUntil = 0;
+        machine.lastAnnounced = "";
         machine.entry = new SimulatedZoneEntry({
             member: machine.member,
             time: this.time,
@@ -198,7 +202,7 @@
         });
     }
 
-    /** Announces the members of the zone and its owner, as control instances do. */
+    /** Announces the members of the zone and its owner when they have changed, as control instances do. */
     private announce(): void {
         if (!this.isControlRunning) {
             return;
@@ -210,9 +214,11 @@
         const members = known.map(({ member }) => member);
         const claiming = known.filter(({ entry }) => (entry?.election.claim ?? 0) > 0);
         const owner = claiming.sort((one, other) => other.entry!.election.claim - one.entry!.election.claim)[0];
-        for (const { entry } of this.running) {
-            entry!.peers.handleMembers(members);
-            entry!.peers.handleReportedOwner(owner?.member);
+        const text = JSON.stringify([members, owner?.member]);
+        for (const machine of this.running.filter(({ lastAnnounced }) => lastAnnounced !== text)) {
+            machine.lastAnnounced = text;
+            machine.entry!.peers.handleMembers(members);
+            machine.entry!.peers.handleReportedOwner(owner?.member);
         }
     }
 
--- a/packages/fleet/tests/zoneElection.test.ts
+++ b/packages/fleet/tests/zoneElection.test.ts
@@ -21,6 +21,7 @@
         const simulation = await startZone(size, size);
         expect(simulation.claimants).toEqual([simulation.commonOwner]);
         expect(simulation.unconnectedToOwner).toEqual([]);
+        expect(simulation.claims).toHaveLength(1);
     });
 
     test("has a new owner soon after the owner was killed, lost power, froze or was cut off", async () => {
@@ -58,6 +59,22 @@
     });
 });
 
+test("after a long quiet time, and a change in the zone, an entry still knows those that it is not connected to", async () => {
+    const simulation = await startZone(1, 8);
+    await simulation.time.advance(65_000);
+    const last = simulation.getMachine("entry-07");
+    simulation.kill(last);
+    simulation.restartLater(last);
+    await simulation.time.advance(15_000);
+    const owner = simulation.commonOwner!;
+    simulation.stopControl();
+    ["entry-00", "entry-01", "entry-02"].forEach(id => simulation.kill(simulation.getMachine(id)));
+    expect(await simulation.awaitOwner(owner, takeoverLimitMs)).toBeLessThanOrEqual(takeoverLimitMs);
+    await simulation.time.advance(1_000);
+    expect(simulation.unconnectedToOwner).toEqual([]);
+    expect(simulation.claims).toHaveLength(2);
+});
+
 describe("under faults", () => {
     const cases = sizes.flatMap(size => [1, 2, 3].map(seed => ({ size, seed })));
 
@@ -77,6 +94,13 @@
 });
 
 describe("the simulation finds", () => {
+    test("an entry that claims before it knows of those before it", async () => {
+        const simulation = await startZone(1, 8, "claims-while-awaiting");
+        ["entry-00", "entry-01", "entry-02"].forEach(id => simulation.kill(simulation.getMachine(id)));
+        await simulation.time.advance(2_000);
+        expect(simulation.claims.length).toBeGreaterThan(2);
+    });
+
     test("an owner whose silence is noticed late", async () => {
         const simulation = await startZone(1, 8, "no-heartbeats");
         const owner = simulation.getMachine(simulation.commonOwner!);
