--- a/packages/anvilmux/src/roles/EntryMessages.ts
+++ b/packages/anvilmux/src/roles/EntryMessages.ts
@@ -3,8 +3,7 @@
  * entry makes for the owner, and the answers to this entry's own jobs and calls.
  */
 
-import type { PendingJobs, RelayedWorkers, TaskScheduler, WorkerRelay } from "@anvilmux/dispatch";
-import type { JobAnswer } from "@anvilmux/dispatch";
+import type { JobAnswer, PendingJobs, RelayedWorkers, TaskScheduler, WorkerRelay } from "@anvilmux/dispatch";
 import type { PeerConnection, PeerMessage } from "@anvilmux/fleet";
 
 export interface EntryMessagesOptions {
--- a/packages/fleet/src/ZonePeer.ts
+++ b/packages/fleet/src/ZonePeer.ts
@@ -29,9 +29,9 @@
     /** When it was last listed by control, or connected. */
     knownAt: Milliseconds;
     /** When this entry began to need a connection to the peer; undefined while it needs none. */
-    wantedSince: Milliseconds | undefined;
+    neededSince: Milliseconds | undefined;
     /** When this entry last needed the connection. */
-    wantedUntil: Milliseconds;
+    neededUntil: Milliseconds;
 }
 
 export const newZonePeer = (member: EntryMember, now: Milliseconds): ZonePeer => ({
@@ -41,6 +41,6 @@
     connection: undefined,
     isUnreachable: false,
     knownAt: now,
-    wantedSince: undefined,
-    wantedUntil: now,
+    neededSince: undefined,
+    neededUntil: now,
 });
--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -87,7 +87,7 @@
 
     /** True when this entry has all the connections that it needs. */
     areNeededPeersConnected(): boolean {
-        return [...this.peers.values()].every(peer => peer.wantedSince === undefined || peer.connection !== undefined);
+        return [...this.peers.values()].every(peer => peer.neededSince === undefined || peer.connection !== undefined);
     }
 
     /** True while it is not known yet whether a peer can be reached that owns the workers or comes before this entry. */
@@ -127,13 +127,13 @@
         const now = this.clock.now();
         for (const peer of this.peers.values()) {
             if (needed.has(peer.id)) {
-                peer.wantedSince ??= now;
-                peer.wantedUntil = now;
+                peer.neededSince ??= now;
+                peer.neededUntil = now;
                 peer.link ??= this.isOpenedHere(peer.id) ? this.connect(peer.member) : undefined;
             }
             else {
-                peer.wantedSince = undefined;
-                if (peer.link && now - peer.wantedUntil > unneededRetentionMs) {
+                peer.neededSince = undefined;
+                if (peer.link && now - peer.neededUntil > unneededRetentionMs) {
                     this.disconnect(peer);
                 }
             }
@@ -186,13 +186,13 @@
     }
 
     private isAwaited(peer: ZonePeer): boolean {
-        if (peer.wantedSince === undefined || peer.connection) {
+        if (peer.neededSince === undefined || peer.connection) {
             return false;
         }
         if (this.isOpenedHere(peer.id)) {
             return !peer.isUnreachable;
         }
-        return peer.id === this.reportedOwner?.id && this.clock.now() - peer.wantedSince < connectTimeoutMs;
+        return peer.id === this.reportedOwner?.id && this.clock.now() - peer.neededSince < connectTimeoutMs;
     }
 
     private recordMember(member: EntryMember): void {
