--- a/packages/fleet/src/ConfigurationFetch.ts
+++ b/packages/fleet/src/ConfigurationFetch.ts
@@ -4,7 +4,7 @@
  * Of changes in quick succession only some are fetched, so that they leave room for other work.
  */
 
-import type { Address, Clock, Milliseconds, Timers } from "@anvilmux/common";
+import type { Address, Clock, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
 
 export interface ConfigurationFetchOptions {
     readonly clock: Clock;
@@ -30,9 +30,17 @@
     private source: Address | undefined;
     private requestedAt: Milliseconds = 0;
     private pausing = false;
+    private readonly pendingTimers = new Set<Unsubscribe>();
 
     constructor(private readonly options: ConfigurationFetchOptions) {}
 
+    /** Cancels its timers; nothing is fetched any more. */
+    stop(): void {
+        this.pendingTimers.forEach(cancel => cancel());
+        this.pendingTimers.clear();
+        this.announced.clear();
+    }
+
     handleNotice(control: Address, index: number): void {
         this.announced.set(control, index);
         this.requestNext();
@@ -77,7 +85,7 @@
     private pause(duration: Milliseconds): void {
         if (!this.pausing) {
             this.pausing = true;
-            this.options.timers.after(duration, () => {
+            this.after(duration, () => {
                 this.pausing = false;
                 this.requestNext();
             });
@@ -99,7 +107,7 @@
 
     private checkLater(source: Address, requestedAt: Milliseconds): void {
         const isCurrent = () => source === this.source && requestedAt === this.requestedAt;
-        this.options.timers.after(silenceTimeoutMs, () => {
+        this.after(silenceTimeoutMs, () => {
             // After a stall of this process, what has arrived meanwhile is read first.
             setImmediate(() => isCurrent() && this.checkSource(source, requestedAt));
         });
@@ -121,6 +129,14 @@
         return now - activeAt >= silenceTimeoutMs || now - requestedAt >= transferTimeoutMs;
     }
 
+    private after(delay: Milliseconds, listener: () => void): void {
+        const cancel = this.options.timers.after(delay, () => {
+            this.pendingTimers.delete(cancel);
+            listener();
+        });
+        this.pendingTimers.add(cancel);
+    }
+
     private moveToEnd(control: Address): void {
         const index = this.announced.get(control);
         this.announced.delete(control);
--- a/packages/fleet/src/ControlLinks.ts
+++ b/packages/fleet/src/ControlLinks.ts
@@ -64,6 +64,7 @@
     }
 
     stop(): void {
+        this.fetch.stop();
         this.links.forEach(link => link.stop());
     }
 
--- a/packages/fleet/tests/ConfigurationFetch.test.ts
+++ b/packages/fleet/tests/ConfigurationFetch.test.ts
@@ -122,3 +122,12 @@
     await fixture.receiveData([first], 4_000);
     expect(fixture.requested).toEqual([first]);
 });
+
+test("a stopped fetch asks nobody any more", async () => {
+    const fixture = new FetchFixture();
+    fixture.announce(4, [first, second]);
+    const before = fixture.requested.length;
+    fixture.fetch.stop();
+    await fixture.time.advance(5_000);
+    expect(fixture.requested).toHaveLength(before);
+});
