Dispatch: a new owner starts no job before its workers' runs are known

Cause: an owner waited for the lists of its workers, or for the end of the former owner's leases, only with jobs that their entry had marked as resubmitted. A caller whose entry was lost sends its job through another one, which cannot know that it was there before; the new owner then started it beside the run on a worker that was silent, or only slower to list. Change: what a former owner may have started is a matter of the owner and its workers, not of the job: until all workers have listed their runs, or the former leases are over, no job is started. That also covers jobs that wait here while the token is raised. An aborted job is answered as unknown then, as it may run, and no capacity is offered to other zones. Ruled out: asking the entries (the one that knew the job is lost), and waiting with resubmitted jobs only (the fault itself).

--- a/packages/dispatch/src/PlacementRounds.ts
+++ b/packages/dispatch/src/PlacementRounds.ts
@@ -3,7 +3,7 @@
  * spilled to other zones. Requests for a round that come in one turn of the event loop share it.
  */
 
-import type { Clock } from "@anvilmux/common";
+import type { Clock, Milliseconds } from "@anvilmux/common";
 import { maximumPassedOver } from "./constants";
 import type { JobTable } from "./JobTable";
 import { mayHaveUnseenRuns } from "./jobTimeouts";
@@ -19,6 +19,8 @@
     readonly workers: OwnedWorkers;
     readonly placer: TaskPlacer;
     readonly spiller: TaskSpiller;
+    /** When the current fencing token was obtained. */
+    readonly getOwnsSince: () => Milliseconds;
     /** False while no tasks may be forwarded to other zones. */
     readonly maySpill: () => boolean;
     /** Called for a job of another zone that could not be started at once. */
@@ -76,6 +78,7 @@
         let areAllListed: boolean | undefined;
         return {
             now: this.options.clock.now(),
+            ownsSince: this.options.getOwnsSince(),
             areAllListed: () => areAllListed ??= this.options.workers.areAllListed(),
         };
     }
--- a/packages/dispatch/src/ScheduledJob.ts
+++ b/packages/dispatch/src/ScheduledJob.ts
@@ -46,8 +46,8 @@
     withdrawn: boolean;
     /** True once it was answered or cancelled. */
     closed: boolean;
-    /** Until then, runs started by a former owner may continue without being listed here. */
-    uncertainUntil: Milliseconds;
+    /** Until then, tasks that a former owner forwarded to another zone may run there. */
+    mayRunElsewhereUntil: Milliseconds;
 }
 
 /** Callbacks for the end of a task's run, here or in another zone. */
@@ -66,7 +66,6 @@
     request: JobRequest,
     submitter: JobSubmitter,
     receivedAt: Milliseconds,
-    uncertainUntil: Milliseconds,
 ): ScheduledJob => ({
     request,
     receivedAt,
@@ -88,14 +87,14 @@
     remoteTasks: new Map(),
     withdrawn: false,
     closed: false,
-    uncertainUntil,
+    mayRunElsewhereUntil: getElsewhereEnd(request, receivedAt),
 });
 
 /**
  * Applies a later submission of a job that is present. What an earlier one said of possible runs remains true; a later
  * one adds to it when another owner had the job meanwhile.
  */
-export const applyResubmission = (job: ScheduledJob, request: JobRequest, uncertainUntil: Milliseconds): void => {
+export const applyResubmission = (job: ScheduledJob, request: JobRequest, now: Milliseconds): void => {
     if (!(request.hadOtherOwner ?? request.resubmitted)) {
         return;
     }
@@ -104,7 +103,7 @@
         resubmitted: job.request.resubmitted || request.resubmitted,
         mayRunElsewhere: job.request.mayRunElsewhere || request.mayRunElsewhere,
     };
-    job.uncertainUntil = Math.max(job.uncertainUntil, uncertainUntil);
+    job.mayRunElsewhereUntil = Math.max(job.mayRunElsewhereUntil, getElsewhereEnd(request, now));
 };
 
 /** Marks a task as placed on a worker, where its run is ordered or already in progress. */
@@ -123,14 +122,6 @@
     job.started += 1;
 };
 
-/** Time until which runs of the job that are unknown to this scheduler may continue; 0 when there can be none. */
-export const getUncertaintyEnd = (
-    request: JobRequest,
-    now: Milliseconds,
-    ownsSince: Milliseconds,
-): Milliseconds => {
-    if (request.mayRunElsewhere) {
-        return now + takeoverUncertaintyMs;
-    }
-    return request.resubmitted ? ownsSince + takeoverUncertaintyMs : 0;
-};
+/** Time until which tasks of the job may run in another zone, unknown to this scheduler; 0 when there can be none. */
+const getElsewhereEnd = (request: JobRequest, now: Milliseconds): Milliseconds =>
+    request.mayRunElsewhere ? now + takeoverUncertaintyMs : 0;
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -8,14 +8,14 @@
 import { endedJobRetentionMs, maximumEndedJobs, orphanGraceMs, schedulerTickMs, spilledGraceMs } from "./constants";
 import { CrashSuspects } from "./CrashSuspects";
 import { JobTable } from "./JobTable";
-import { cannotMeetDeadline, newAbortAnswer } from "./jobTimeouts";
+import { cannotMeetDeadline, mayHaveUnseenRuns, mayWorkersHaveUnseenRuns, newAbortAnswer } from "./jobTimeouts";
 import { OwnedWorkers } from "./OwnedWorkers";
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
 import { PlacementRounds } from "./PlacementRounds";
 import { RecentMap } from "./RecentMap";
 import { newGivenUpAnswer, RunCompletionHandler } from "./RunCompletionHandler";
 import type { Run, RunOutcome } from "./RunTable";
-import { applyResubmission, getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
+import { applyResubmission, markPlaced, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
 import { logAbortedJob, logClosedJob, logStalledRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
@@ -76,6 +76,7 @@
             workers: this.workers,
             placer: this.placer,
             spiller: this.spiller,
+            getOwnsSince: () => this.ownsSince,
             maySpill: () => !this.transferring,
             onUnplaced: job => this.abortJob(job),
         });
@@ -104,9 +105,8 @@
         }
         const present = this.jobs.get(request.id);
         const now = this.options.clock.now();
-        const uncertainUntil = getUncertaintyEnd(request, now, this.ownsSince);
         if (present && hasSameTasks(present.request, request)) {
-            applyResubmission(present, request, uncertainUntil);
+            applyResubmission(present, request, now);
             this.replaceSubmitter(present, submitter);
             return;
         }
@@ -117,7 +117,7 @@
             submitter.answer({ kind: "refused", reason: "the owner of the zone's workers changes", retryAfterMs: 0 });
             return;
         }
-        const job = newScheduledJob(request, submitter, now, uncertainUntil);
+        const job = newScheduledJob(request, submitter, now);
         const obstacle = this.findPermanentObstacle(request);
         if (obstacle) {
             this.answer(job, obstacle);
@@ -221,9 +221,11 @@
         return this.jobs.getAll().some(job => job.request.spilled || job.remoteTasks.size > 0);
     }
 
-    /** Capacity offered to other zones; none while jobs wait here or ownership is being transferred. */
+    /** Capacity offered to other zones; none while tasks of other zones would be refused. */
     getFreeCapacity(): FreeCapacity {
-        return this.transferring || this.jobs.waitingCount > 0 ? {} : this.workers.getFreeCapacity();
+        const isOffered = !this.transferring && this.jobs.waitingCount === 0
+            && !mayWorkersHaveUnseenRuns(this.rounds.getView());
+        return isOffered ? this.workers.getFreeCapacity() : {};
     }
 
     /** Releases all workers without stopping their runs; the next owner finds them in the workers' lists. */
@@ -337,6 +339,12 @@
             ...this.workers.describeCapacity(job.request.service),
             otherZones: this.spiller.describeCapacity(job.request.service),
         });
-        this.finish(job, newAbortAnswer(job, this.placer.hasLiveRuns(job)));
+        this.finish(job, newAbortAnswer(job, this.mayHaveRuns(job)));
+    }
+
+    /** The refusal of forwarded tasks speaks of that submission alone; the owner that forwarded them knows of others. */
+    private mayHaveRuns(job: ScheduledJob): boolean {
+        return this.placer.hasLiveRuns(job)
+            || (!job.request.spilled && mayHaveUnseenRuns(job, this.rounds.getView()));
     }
 }
--- a/packages/dispatch/src/jobTimeouts.ts
+++ b/packages/dispatch/src/jobTimeouts.ts
@@ -1,20 +1,29 @@
 /** How long a job waits for possible runs of a former owner, and when it is aborted. */
 
 import type { Milliseconds } from "@anvilmux/common";
-import { refusalRetryMs } from "./constants";
+import { refusalRetryMs, takeoverUncertaintyMs } from "./constants";
 import type { ScheduledJob } from "./ScheduledJob";
 import type { JobAnswer } from "./types";
 
 /** State of the scheduler on which these decisions depend. */
 export interface SchedulerView {
     readonly now: Milliseconds;
+    /** When the current fencing token was obtained; runs started before are known only from workers' lists. */
+    readonly ownsSince: Milliseconds;
     /** True once every worker has listed its runs. */
     readonly areAllListed: () => boolean;
 }
 
-/** True while runs of the job that are unknown to this scheduler may continue. */
+/**
+ * True while runs of the job that are unknown to this scheduler may continue: in another zone, or under the lease of a
+ * former owner. Any job may have been with the former owner, since its caller may have sent it through another entry.
+ */
 export const mayHaveUnseenRuns = (job: ScheduledJob, view: SchedulerView): boolean =>
-    view.now < job.uncertainUntil && (job.request.mayRunElsewhere || !view.areAllListed());
+    view.now < job.mayRunElsewhereUntil || mayWorkersHaveUnseenRuns(view);
+
+/** True while workers that have not listed their runs may hold some that a former owner started. */
+export const mayWorkersHaveUnseenRuns = (view: SchedulerView): boolean =>
+    view.now < view.ownsSince + takeoverUncertaintyMs && !view.areAllListed();
 
 /** True when the job must be aborted: its caller no longer waits, or it cannot start in time. */
 export const cannotMeetDeadline = (job: ScheduledJob, view: SchedulerView): boolean => {
@@ -23,14 +32,14 @@
 };
 
 /**
- * The answer to an aborted job; a refusal only when none of its tasks can have run. `hasLiveRuns`: runs of an earlier
- * submission of it have not ended. A refusal to the owner of another
+ * The answer to an aborted job; a refusal only when none of its tasks can have run. `mayHaveRuns`: runs of an earlier
+ * submission of it have not ended, or may be unknown to this scheduler. A refusal to the owner of another
  * zone speaks of this zone alone, where tasks that were not forwarded before cannot have run; that owner still knows
  * that its job was resubmitted.
  */
-export const newAbortAnswer = (job: ScheduledJob, hasLiveRuns: boolean): JobAnswer => {
+export const newAbortAnswer = (job: ScheduledJob, mayHaveRuns: boolean): JobAnswer => {
     const { resubmitted, mayRunElsewhere, spilled } = job.request;
-    return job.started === 0 && !hasLiveRuns && (!resubmitted || spilled) && !mayRunElsewhere
+    return job.started === 0 && !mayHaveRuns && (!resubmitted || spilled) && !mayRunElsewhere
         ? { kind: "refused", reason: "no room in time", retryAfterMs: refusalRetryMs }
         : { kind: "unknown", reason: "not ended in time, and tasks of it may have run" };
 };
--- a/packages/dispatch/tests/JobTable.test.ts
+++ b/packages/dispatch/tests/JobTable.test.ts
@@ -42,7 +42,6 @@
         },
         submitter,
         receivedAt,
-        0,
     );
 
 const getIds = (jobs: Iterable<ScheduledJob>): string[] => [...jobs].map(job => job.request.id);
--- a/packages/dispatch/tests/runsWithoutProof.test.ts
+++ b/packages/dispatch/tests/runsWithoutProof.test.ts
@@ -56,6 +56,22 @@
         expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
     });
 
+    test("a job that a new owner could not start is not refused as not run while a worker may run it", async () => {
+        const fixture = new SchedulerFixture(2);
+        const former = fixture.newScheduler(1);
+        await fixture.time.advance(20);
+        const request = fixture.newJob("a", { runMs: 700, objectiveMs: 9_000 });
+        fixture.submit(former, request);
+        await fixture.time.advance(50);
+        former.stop();
+        fixture.workers.find(worker => worker.runningCount === 1)!.isUnreachable = true;
+        const next = fixture.newScheduler(2);
+        await fixture.time.advance(100);
+        fixture.submit(next, { ...request, remainingMs: 300 }, "another entry");
+        await fixture.time.advance(500);
+        expect(fixture.answers.get("a")?.kind).toBe("unknown");
+    });
+
     test("the end of one of two runs of a task leaves the other one known", async () => {
         const fixture = new SchedulerFixture(3);
         const scheduler = fixture.newScheduler(1);
