Log how the owner learned of each run's end, and with which clock

Cause: for a task that ran on two workers at the same time (docs/incidents/one-task-on-two-workers.md), no line gave the path by which the first run ended in its owner, the lease and clock sample behind it, or the relay of a call.

Change: the end of a run is passed along as outcome and cause; decisions depend on the outcome only, as before. The line `run ended without success` has the cause, the incarnations, the times since order and confirmation, how long runs and the start remain possible, and age, incarnation and error of the clock estimate. It is also written for ends of runs that are not their task's current one, and for a run that a later order replaces, which was dropped without a line. Lines on unanswered and refused calls have the relay, from a field that RelayedWorkers sets; `worker restarted` has both incarnations and the first five runs. anvilmux_run_ends_total has the label `cause`. The lines on calls moved from WorkerSession to workerLog. ListReader.test.ts checks the cause as well, as the callback's argument changed.

Ruled out: a second line beside the present one (twice the volume), and reading the relay from the reason's text. Volume was not measured.

--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Milliseconds } from "@anvilmux/common";
-import { maximumListedCompletions } from "./constants";
+import { maximumListedCompletions, maximumLoggedRuns } from "./constants";
 import { newRun } from "./RunTable";
 import type { Run, RunTable } from "./RunTable";
 import type { RunList, TaskName, WorkerId } from "./types";
@@ -27,7 +27,7 @@
     private lastCompletion = 0;
     /** The worker's clock in the latest list of its current incarnation. */
     private newestClock: Milliseconds = 0;
-    private incarnation = 0;
+    private listedIncarnation = 0;
 
     constructor(private readonly options: ListReaderOptions) {}
 
@@ -36,6 +36,11 @@
         return this.lastCompletion;
     }
 
+    /** Incarnation of the worker in the latest list; 0 before the first. */
+    get incarnation(): number {
+        return this.listedIncarnation;
+    }
+
     /** Applies a list that was requested at `sentAt`. */
     read(list: RunList, sentAt: Milliseconds): ListResult {
         const isSameIncarnation = list.incarnation === this.incarnation;
@@ -43,7 +48,7 @@
             return "overtaken";
         }
         this.newestClock = list.clock;
-        this.options.time.recordClock(list.clock);
+        this.options.time.recordClock(list.clock, list.incarnation);
         this.updateIncarnation(list.incarnation);
         const result = list.completions.some(completion => completion.number > this.lastCompletion)
             ? "ends"
@@ -58,11 +63,18 @@
 
     /** A new incarnation of the worker has none of the earlier runs and restarts the numbering of completions. */
     private updateIncarnation(incarnation: number): void {
-        const isNewIncarnation = this.incarnation !== 0 && this.incarnation !== incarnation;
-        this.incarnation = incarnation;
+        const formerIncarnation = this.listedIncarnation;
+        const isNewIncarnation = formerIncarnation !== 0 && formerIncarnation !== incarnation;
+        this.listedIncarnation = incarnation;
         if (isNewIncarnation) {
             const { logger, worker, runs, onRestart } = this.options;
-            logger.warn("worker restarted; its runs are lost", { worker, lostRuns: runs.size });
+            logger.warn("worker restarted; its runs are lost", {
+                worker,
+                formerIncarnation,
+                incarnation,
+                lostRuns: runs.size,
+                runs: runs.getAll().slice(0, maximumLoggedRuns).map(describe).join(", "),
+            });
             this.lastCompletion = 0;
             onRestart();
         }
@@ -74,7 +86,7 @@
                 this.lastCompletion = completion.number;
                 const record = this.options.runs.get(completion.task);
                 if (record?.run === completion.run) {
-                    this.options.onEnd(record, completion.how);
+                    this.options.onEnd(record, { outcome: completion.how, cause: "listed" });
                 }
             }
         }
@@ -88,7 +100,7 @@
             }
             else if (record.run < item.run) {
                 // Another owner started the task again after this one's run had ended.
-                this.options.onEnd(record, "lost");
+                this.options.onEnd(record, { outcome: "lost", cause: "replaced" });
                 this.addFoundRun(item.task, item.run);
             }
             else if (record.run === item.run) {
@@ -119,7 +131,8 @@
                 confirmedMs: Math.round(sentAt - run.confirmedAt),
                 listed: list.running.length,
             });
-            onEnd(run, run.state === "running" ? "lost" : "never-started");
+            const outcome = run.state === "running" ? "lost" : "never-started";
+            onEnd(run, { outcome, cause: "missing-from-list" });
         }
     }
 
@@ -136,3 +149,5 @@
         this.options.onFound(record);
     }
 }
+
+const describe = ({ task, run, state }: Run): string => `${task} ${run} ${state}`;
--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -3,7 +3,7 @@
 import type { Clock, Milliseconds, Timers } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import { maximumReportedWorkers } from "./constants";
-import type { Run, RunOutcome } from "./RunTable";
+import type { Run, RunEnd } from "./RunTable";
 import type { ObservedCapacity } from "./schedulerLog";
 import { fits } from "./types";
 import type { ConnectWorker, FreeCapacity, JobRequest, Resources, WorkerAnnouncement, WorkerId } from "./types";
@@ -22,7 +22,7 @@
     readonly timers: Timers;
     readonly logger: Logger;
     readonly metrics: Metrics;
-    readonly onEnd: (session: WorkerSession, run: Run, outcome: RunOutcome) => void;
+    readonly onEnd: (session: WorkerSession, run: Run, end: RunEnd) => void;
     readonly onCrash: (session: WorkerSession, runs: readonly Run[]) => void;
     readonly onFound: (session: WorkerSession, run: Run) => void;
     readonly onStandstill: (session: WorkerSession, run: Run, percent: number) => void;
@@ -165,7 +165,7 @@
             ...this.options,
             announcement,
             driver: this.options.connect(announcement),
-            onEnd: (run, outcome) => this.options.onEnd(session, run, outcome),
+            onEnd: (run, end) => this.options.onEnd(session, run, end),
             onCrash: runs => this.options.onCrash(session, runs),
             onFound: run => this.options.onFound(session, run),
             onStandstill: (run, percent) => this.options.onStandstill(session, run, percent),
--- a/packages/dispatch/src/RelayedWorkers.ts
+++ b/packages/dispatch/src/RelayedWorkers.ts
@@ -17,7 +17,15 @@
     sufficientRelays,
 } from "./constants";
 import { RelayAssignment } from "./RelayAssignment";
-import type { ConnectWorker, StartAnswer, WatchAnswer, WorkerDriver, WorkerId, WorkerTarget } from "./types";
+import type {
+    ConnectWorker,
+    StartAnswer,
+    Unanswered,
+    WatchAnswer,
+    WorkerDriver,
+    WorkerId,
+    WorkerTarget,
+} from "./types";
 import { getCallTimeout, makeWorkerCall } from "./workerCalls";
 import type { NumberedWorkerCall, WorkerCall, WorkerCallAnswer } from "./workerCalls";
 
@@ -37,11 +45,16 @@
 interface PendingCall {
     readonly relay: string;
     readonly worker: WorkerId;
-    /** Called with undefined when the relay did not answer. */
-    readonly resolve: (answer: WorkerCallAnswer | undefined) => void;
+    readonly resolve: (answer: WorkerCallAnswer | LostRelay) => void;
     cancelTimeout: Unsubscribe;
 }
 
+/** The result of a call whose relay did not answer. */
+interface LostRelay {
+    readonly kind: "relay-lost";
+    readonly relay: string;
+}
+
 export class RelayedWorkers {
     private readonly pending = new Map<number, PendingCall>();
     private readonly suspectedUntil = new Map<string, Milliseconds>();
@@ -61,13 +74,15 @@
         const call = (made: WorkerCall) => this.call(worker, made, getDirect);
         this.openDrivers += 1;
         return {
-            start: async order => await call({ kind: "start", order }) as StartAnswer | undefined ?? withoutAnswer,
+            start: async order => toAnswer(await call({ kind: "start", order }) as StartAnswer | LostRelay),
             stop: async (task, run, fencingToken) => await call({ kind: "stop", task, run, fencingToken }) === true,
-            watch: async order =>
-                await call({ kind: "watch", order }) as WatchAnswer | undefined
-                    // A lost relay says nothing of the worker: another one is asked for a list at once.
-                    ?? await call({ kind: "watch", order: { ...order, waitMs: 0 } }) as WatchAnswer | undefined
-                    ?? withoutAnswer,
+            watch: async order => {
+                const first = await call({ kind: "watch", order }) as WatchAnswer | LostRelay;
+                // A lost relay says nothing of the worker: another one is asked for a list at once.
+                return first.kind === "relay-lost"
+                    ? toAnswer(await call({ kind: "watch", order: { ...order, waitMs: 0 } }) as WatchAnswer | LostRelay)
+                    : first;
+            },
             close: () => {
                 this.openDrivers -= isOpen ? 1 : 0;
                 isOpen = false;
@@ -103,7 +118,7 @@
         worker: WorkerTarget,
         call: WorkerCall,
         getDirect: () => WorkerDriver,
-    ): Promise<WorkerCallAnswer | undefined> {
+    ): Promise<WorkerCallAnswer | LostRelay> {
         const relay = this.openDrivers > maximumDirectWorkers
             ? this.assignment.choose(worker.id, this.getTrustedRelays())
             : undefined;
@@ -116,7 +131,7 @@
         relay: string,
         worker: WorkerTarget,
         made: WorkerCall,
-    ): Promise<WorkerCallAnswer | undefined> | undefined {
+    ): Promise<WorkerCallAnswer | LostRelay> | undefined {
         const number = this.nextNumber++;
         const target = { id: worker.id, address: worker.address };
         if (!this.options.send(relay, { number, worker: target, call: made })) {
@@ -157,7 +172,9 @@
         const call = this.pending.get(number);
         this.pending.delete(number);
         call?.cancelTimeout();
-        call?.resolve(answer);
+        call?.resolve(
+            answer === undefined ? { kind: "relay-lost", relay: call.relay } : withRelay(answer, call.relay),
+        );
     }
 
     private suspect(relay: string): void {
@@ -178,7 +195,16 @@
     }
 }
 
-const withoutAnswer = { kind: "unanswered", reason: "the relay gave no answer", isRelayLost: true } as const;
+const toAnswer = <Answer extends StartAnswer | WatchAnswer>(answer: Answer | LostRelay): Answer | Unanswered =>
+    answer.kind === "relay-lost"
+        ? { kind: "unanswered", reason: "the relay gave no answer", isRelayLost: true, relay: answer.relay }
+        : answer;
+
+/** Names the relay in an answer that the owner logs. */
+const withRelay = (answer: WorkerCallAnswer, relay: string): WorkerCallAnswer =>
+    typeof answer === "object" && (answer.kind === "unanswered" || answer.kind === "refused")
+        ? { ...answer, relay }
+        : answer;
 
 /** Stands for the owner itself among its relays. */
 const ownCalls = "";
--- a/packages/dispatch/src/RunCompletionHandler.ts
+++ b/packages/dispatch/src/RunCompletionHandler.ts
@@ -4,7 +4,7 @@
 import type { CrashSuspects } from "./CrashSuspects";
 import type { OwnedWorkers } from "./OwnedWorkers";
 import { runsSkippedAfterOld } from "./runNumbers";
-import type { Run, RunOutcome } from "./RunTable";
+import type { Run, RunEnd } from "./RunTable";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
 import { logCrash, logUnsuccessfulRun } from "./schedulerLog";
 import type { SchedulerLogContext } from "./schedulerLog";
@@ -19,12 +19,13 @@
         private readonly events: TaskEvents,
     ) {}
 
-    handle(job: ScheduledJob, task: ScheduledTask, session: WorkerSession, run: Run, outcome: RunOutcome): void {
+    handle(job: ScheduledJob, task: ScheduledTask, session: WorkerSession, run: Run, end: RunEnd): void {
+        const { outcome, cause } = end;
         const { metrics, clock } = this.context;
         const ranMs = clock.now() - task.placedAt;
-        metrics.count("anvilmux_run_ends_total", { outcome });
+        metrics.count("anvilmux_run_ends_total", { outcome, cause });
         if (outcome !== "done") {
-            logUnsuccessfulRun(this.context, job, task, run, outcome);
+            logUnsuccessfulRun(this.context, job, task, session, run, end);
         }
         task.session = undefined;
         switch (outcome) {
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -11,6 +11,32 @@
  */
 export type RunOutcome = RunResult | "lost" | "crashed" | "never-started" | "refused-old" | "refused" | "invalid";
 
+/**
+ * How the owner learned of a run's end. `listed`: the worker listed it as ended; `missing-from-list`: a complete list
+ * does not contain it; `replaced`: a list, or a later order, has a later run of its task; `new-incarnation`: the worker
+ * listed its runs in another incarnation; `lease-expired`: the worker did not answer for as long as runs were possible;
+ * `process-down`: the same, and connections to it are refused; `refused`: the worker refused the start;
+ * `connection-refused`: the connection for the start was refused; `worker-gone`: another worker answers at the address.
+ */
+export type RunEndCause =
+    | "listed"
+    | "missing-from-list"
+    | "replaced"
+    | "new-incarnation"
+    | "lease-expired"
+    | "process-down"
+    | "refused"
+    | "connection-refused"
+    | "worker-gone";
+
+/** The end of a run. Decisions depend on the outcome only; the rest is for logs and metrics. */
+export interface RunEnd {
+    readonly outcome: RunOutcome;
+    readonly cause: RunEndCause;
+    /** The relay through which the call that ended it was made; undefined for other ends and for direct calls. */
+    readonly relay?: string | undefined;
+}
+
 export interface Run {
     readonly task: TaskName;
     readonly run: number;
@@ -70,8 +96,8 @@
         return this.unknownRuns > 0;
     }
 
-    /** Adds a run; it replaces an earlier one of its task. */
-    add(run: Run): void {
+    /** Adds a run; it replaces an earlier one of its task, which is returned. */
+    add(run: Run): Run | undefined {
         const replaced = this.runs.get(run.task);
         if (replaced) {
             this.remove(replaced);
@@ -83,6 +109,7 @@
         else {
             this.unknownRuns += 1;
         }
+        return replaced;
     }
 
     /** Sets the request of a run that an earlier owner started, and counts its resources. */
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -14,10 +14,10 @@
 import { PlacementRounds } from "./PlacementRounds";
 import { RecentMap } from "./RecentMap";
 import { newGivenUpAnswer, RunCompletionHandler } from "./RunCompletionHandler";
-import type { Run, RunOutcome } from "./RunTable";
+import type { Run, RunEnd } from "./RunTable";
 import { applyResubmission, getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logAbortedJob, logClosedJob, logStalledRun } from "./schedulerLog";
+import { logAbortedJob, logClosedJob, logStalledRun, logUnassignedRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
 import { TaskPlacer } from "./TaskPlacer";
 import { TaskSpiller } from "./TaskSpiller";
@@ -62,7 +62,7 @@
                 this.spiller.handleFenced(fencingToken);
                 options.onFenced(fencingToken);
             },
-            onEnd: (session, run, outcome) => this.handleRunCompletion(session, run, outcome),
+            onEnd: (session, run, end) => this.handleRunCompletion(session, run, end),
             onCrash: (session, runs) => this.completionHandler.handleCrash(session, runs),
             onFound: (session, run) => this.handleFoundRun(session, run),
             onStandstill: (session, run, percent) => this.handleStalledRun(session, run, percent),
@@ -268,13 +268,16 @@
         session.stop(run.task);
     }
 
-    private handleRunCompletion(session: WorkerSession, run: Run, outcome: RunOutcome): void {
+    private handleRunCompletion(session: WorkerSession, run: Run, end: RunEnd): void {
         if (this.liveRuns.get(run.task) === session) {
             this.liveRuns.delete(run.task);
         }
         const owner = this.jobs.findTask(run.task);
         if (owner && owner.task.session === session && owner.task.state === "placed") {
-            this.completionHandler.handle(owner.job, owner.task, session, run, outcome);
+            this.completionHandler.handle(owner.job, owner.task, session, run, end);
+        }
+        else if (end.outcome !== "done") {
+            logUnassignedRun(this.options, session, run, end, owner);
         }
         this.rounds.schedule();
     }
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -6,6 +6,7 @@
 
 import { sleep } from "@anvilmux/common";
 import type { Milliseconds } from "@anvilmux/common";
+import type { LogFields } from "@anvilmux/telemetry";
 import {
     busyWatchWaitMs,
     completionBatchMs,
@@ -21,9 +22,12 @@
 } from "./constants";
 import { ListReader } from "./ListReader";
 import { newRun, RunTable } from "./RunTable";
-import type { Run, RunOutcome } from "./RunTable";
+import type { Run, RunEnd, RunEndCause, RunOutcome } from "./RunTable";
+import { logUnassignedRun } from "./schedulerLog";
 import { fits, getLargerResources, subtractResources } from "./types";
-import type { Resources, RunList, StartAnswer, TaskName, TaskRequest, WorkerAnnouncement, WorkerId } from "./types";
+import type { RefusedStart, Resources, RunList, StartAnswer, TaskName, TaskRequest, Unanswered } from "./types";
+import type { WorkerAnnouncement, WorkerId } from "./types";
+import { describeRun, logReachable, logRefusedStart, logUnansweredStart, logUnansweredWatch } from "./workerLog";
 import { WorkerPause } from "./WorkerPause";
 import type { WorkerSessionOptions } from "./workerSessionOptions";
 import { WorkerTime } from "./WorkerTime";
@@ -57,8 +61,8 @@
             worker: this.id,
             runs: this.runs,
             time: this.workerTime,
-            onEnd: (run, outcome) => this.end(run, outcome),
-            onRestart: () => this.endAll(this.getCrashOutcome()),
+            onEnd: (run, end) => this.end(run, end),
+            onRestart: () => this.endAll(this.getCrashOutcome(), "new-incarnation"),
         });
         void this.runWatchLoop();
     }
@@ -118,7 +122,10 @@
         const task = request.name;
         const startDeadline = this.workerTime.now() + startValidityMs;
         const record = newRun({ task, run, request, orderedAt: this.options.clock.now(), startDeadline });
-        this.runs.add(record);
+        const replaced = this.runs.add(record);
+        if (replaced) {
+            logUnassignedRun(this.options, this, replaced, { outcome: "lost", cause: "replaced" });
+        }
         this.workerTime.recordGrant(record.orderedAt, startValidityMs);
         this.options.metrics.count("anvilmux_start_orders_total");
         const fencingToken = this.options.getFencingToken();
@@ -142,6 +149,16 @@
         return this.runs.get(task);
     }
 
+    /** What this owner knows of a run, for the log. */
+    describeRun(run: Run): LogFields {
+        return describeRun(run, {
+            now: this.options.clock.now(),
+            time: this.workerTime,
+            listedIncarnation: this.lists.incarnation,
+            announcedIncarnation: this.announced.incarnation,
+        });
+    }
+
     /** Requires a new list after the fencing token was raised, since another owner may have started runs meanwhile. */
     invalidateList(): void {
         this.hasCurrentList = false;
@@ -182,31 +199,31 @@
                     // A start refused as late shows that the clock estimate is off; this corrects it.
                     this.workerTime.recordClock(answer.clock);
                 }
-                this.handleStartRefusal(run, fencingToken, answer.reason);
+                this.handleStartRefusal(run, fencingToken, answer);
                 return;
             case "gone":
-                this.end(run, "never-started");
+                this.end(run, { outcome: "never-started", cause: "worker-gone" });
                 this.handleRemoved();
                 return;
             case "unanswered":
                 if (answer.isRefused) {
                     this.paused.recordUnanswered();
-                    this.end(run, "never-started");
+                    this.end(run, { outcome: "never-started", cause: "connection-refused", relay: answer.relay });
                     return;
                 }
-                this.handleUnansweredStart(run, answer.reason, answer.isRelayLost ?? false);
+                this.handleUnansweredStart(run, answer);
         }
     }
 
     /** The start may still be carried out until its deadline; a poll after that shows whether it was. */
-    private handleUnansweredStart(run: Run, reason: string, isRelayLost: boolean): void {
+    private handleUnansweredStart(run: Run, answer: Unanswered): void {
         if (run.state === "ordered") {
             run.state = "uncertain";
         }
-        if (!isRelayLost) {
+        if (!answer.isRelayLost) {
             this.paused.recordUnanswered();
         }
-        this.options.logger.warn("start without an answer", { worker: this.id, task: run.task, run: run.run, reason });
+        logUnansweredStart(this.options.logger, this.id, run, answer);
         const pollDelayMs = run.startDeadline - this.workerTime.now() + pollAfterValidityMs;
         this.options.timers.after(Math.max(0, pollDelayMs), () => void this.pollUncertainRuns());
     }
@@ -234,18 +251,14 @@
         }
     }
 
-    private handleStartRefusal(run: Run, fencingToken: number, reason: string): void {
+    private handleStartRefusal(run: Run, fencingToken: number, answer: RefusedStart): void {
+        const { reason, relay } = answer;
+        const endAs = (outcome: RunOutcome) => this.end(run, { outcome, cause: "refused", relay });
         this.options.metrics.count("anvilmux_start_refusals_total", { reason });
-        this.options.logger.info("start refused by the worker", {
-            worker: this.id,
-            task: run.task,
-            run: run.run,
-            reason,
-            freeMillicores: this.free.millicores,
-        });
+        logRefusedStart(this.options.logger, this.id, run, answer, this.free.millicores);
         if (reason === "fence") {
             this.pause(firstRetryPauseMs);
-            this.end(run, "refused");
+            endAs("refused");
             this.options.onFenced(fencingToken);
             return;
         }
@@ -255,7 +268,7 @@
         if (reason === "room") {
             this.pause(firstRetryPauseMs);
         }
-        this.end(run, reason === "old" ? "refused-old" : reason === "invalid" ? "invalid" : "refused");
+        endAs(reason === "old" ? "refused-old" : reason === "invalid" ? "invalid" : "refused");
     }
 
     private async runWatchLoop(): Promise<void> {
@@ -303,7 +316,7 @@
                 return 0;
             case "unanswered":
                 this.isProcessDown = answer.isRefused ?? false;
-                return this.handleUnansweredWatch(answer.reason);
+                return this.handleUnansweredWatch(answer);
         }
     }
 
@@ -316,24 +329,26 @@
         this.reachable = true;
         this.hasCurrentList ||= sentAt >= this.listsValidFrom;
         if (!wasUsable && this.hasCurrentList) {
-            this.options.logger.info("worker reachable", { worker: this.id, runs: this.runs.size });
+            logReachable(this.options.logger, this.id, this.runs.size, this.workerTime);
             this.options.onChange();
         }
         this.repeatStops();
         return result === "ends" ? completionBatchMs : 0;
     }
 
-    private handleUnansweredWatch(reason: string): Milliseconds {
+    private handleUnansweredWatch(answer: Unanswered): Milliseconds {
         const now = this.options.clock.now();
         this.unansweredWatches += 1;
         if (this.reachable) {
             this.reachable = false;
-            this.options.logger.warn("worker does not answer", { worker: this.id, reason, runs: this.runs.size });
+            const possibleFor = this.workerTime.runsPossibleUntil - now;
+            logUnansweredWatch(this.options.logger, this.id, answer, this.runs.size, possibleFor);
             this.options.onChange();
             return 1;
         }
         if (now > this.workerTime.runsPossibleUntil && this.runs.size > 0) {
-            this.endAll(this.isProcessDown ? this.getCrashOutcome() : "lost");
+            const outcome = this.isProcessDown ? this.getCrashOutcome() : "lost";
+            this.endAll(outcome, this.isProcessDown ? "process-down" : "lease-expired");
         }
         if (this.announced.state === "left" && this.runs.size === 0) {
             this.handleRemoved();
@@ -347,7 +362,7 @@
         if (this.closed) {
             return;
         }
-        this.endAll(this.getCrashOutcome());
+        this.endAll(this.getCrashOutcome(), "worker-gone");
         this.close();
         this.options.onRemoved();
     }
@@ -366,16 +381,16 @@
         return this.announced.state === "ready" ? "crashed" : "lost";
     }
 
-    private endAll(outcome: RunOutcome): void {
+    private endAll(outcome: RunOutcome, cause: RunEndCause): void {
         const runs = this.runs.getAll();
         if (outcome === "crashed" && runs.length > 0) {
             this.options.onCrash(runs);
         }
-        runs.forEach(run => this.end(run, outcome));
+        runs.forEach(run => this.end(run, { outcome, cause }));
     }
 
-    private end(run: Run, outcome: RunOutcome): void {
+    private end(run: Run, end: RunEnd): void {
         this.runs.remove(run);
-        this.options.onEnd(run, outcome);
+        this.options.onEnd(run, end);
     }
 }
--- a/packages/dispatch/src/WorkerTime.ts
+++ b/packages/dispatch/src/WorkerTime.ts
@@ -10,12 +10,15 @@
 interface ClockSample {
     readonly offset: Milliseconds;
     readonly at: Milliseconds;
+    /** Incarnation of the worker that reported it; undefined when the answer did not tell. */
+    readonly incarnation: number | undefined;
 }
 
 export class WorkerTime {
     /** The sample whose answer was read with the least delay lately; delays only lower a sample. */
     private best: ClockSample | undefined;
     private possibleUntil: Milliseconds = 0;
+    private latestAheadMs: Milliseconds | undefined;
 
     constructor(private readonly clock: Clock) {}
 
@@ -35,11 +38,27 @@
         return this.possibleUntil;
     }
 
-    recordClock(workerClock: Milliseconds): void {
+    /** Age of the sample behind the estimate; undefined while there is none. */
+    get sampleAgeMs(): Milliseconds | undefined {
+        return this.best && this.clock.now() - this.best.at;
+    }
+
+    /** Incarnation that reported the sample behind the estimate; undefined when its answer did not tell. */
+    get sampleIncarnation(): number | undefined {
+        return this.best?.incarnation;
+    }
+
+    /** How far the estimate was ahead of the clock reported last; the delay of that answer is part of it. */
+    get aheadMs(): Milliseconds | undefined {
+        return this.latestAheadMs;
+    }
+
+    recordClock(workerClock: Milliseconds, incarnation?: number): void {
         const at = this.clock.now();
         const offset = workerClock - at;
+        this.latestAheadMs = this.best && this.now() - workerClock;
         if (!this.best || isBetter(offset, this.best, at)) {
-            this.best = { offset, at };
+            this.best = { offset, at, incarnation };
         }
     }
 
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -48,6 +48,8 @@
 export const stopRepeatMs = 250;
 /** Maximum number of completions that a worker lists at once. */
 export const maximumListedCompletions = 500;
+/** Maximum number of lost runs that a log line names. */
+export const maximumLoggedRuns = 5;
 
 /** Time that a run without a job, or a job without a submitter, is kept for a resubmission through another entry. */
 export const orphanGraceMs = 400;
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -2,7 +2,7 @@
 
 import type { Clock } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
-import type { Run, RunOutcome } from "./RunTable";
+import type { Run, RunEnd } from "./RunTable";
 import type { ScheduledJob, ScheduledTask } from "./ScheduledJob";
 import type { WorkerSession } from "./WorkerSession";
 
@@ -45,17 +45,39 @@
     { clock, logger }: SchedulerLogContext,
     job: ScheduledJob,
     task: ScheduledTask,
+    session: WorkerSession,
     run: Run,
-    outcome: RunOutcome,
+    end: RunEnd,
 ): void =>
     logger.info("run ended without success", {
         job: job.request.id,
         task: run.task,
         run: run.run,
-        worker: task.session?.id,
-        outcome,
+        worker: session.id,
+        ...end,
         ranMs: Math.round(clock.now() - task.placedAt),
-        failures: task.failures + (outcome === "failed" ? 1 : 0),
+        failures: task.failures + (end.outcome === "failed" ? 1 : 0),
+        ...session.describeRun(run),
+    });
+
+/** The end of a run that is not its task's current one; `owner`: the job of the task, if there is one. */
+export const logUnassignedRun = (
+    { logger }: Pick<SchedulerLogContext, "logger">,
+    session: WorkerSession,
+    run: Run,
+    end: RunEnd,
+    owner?: { readonly job: ScheduledJob; readonly task: ScheduledTask; },
+): void =>
+    logger.info("run ended without success", {
+        job: owner?.job.request.id,
+        task: run.task,
+        run: run.run,
+        worker: session.id,
+        ...end,
+        isAssigned: false,
+        taskState: owner?.task.state,
+        taskWorker: owner?.task.session?.id,
+        ...session.describeRun(run),
     });
 
 export const logCrash = (
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -139,13 +139,23 @@
     readonly isRelayLost?: boolean;
     /** Nothing listens at the worker's address: its process does not run, and the call was not received. */
     readonly isRefused?: boolean;
+    /** The relay that made the call; undefined when it was made directly. */
+    readonly relay?: string;
+}
+
+export interface RefusedStart {
+    readonly kind: "refused";
+    readonly reason: StartRefusal;
+    /** The worker's clock when it refused, if reported. */
+    readonly clock: Milliseconds | undefined;
+    /** The relay that made the call; undefined when it was made directly. */
+    readonly relay?: string;
 }
 
 /** The answer to a start; `unanswered` means that the run may have started or may start until the order's deadline. */
 export type StartAnswer =
     | { readonly kind: "started"; readonly clock: Milliseconds; }
-    /** `clock`: the worker's clock when it refused, if reported. */
-    | { readonly kind: "refused"; readonly reason: StartRefusal; readonly clock: Milliseconds | undefined; }
+    | RefusedStart
     /** Another worker answered at this address. */
     | { readonly kind: "gone"; }
     | Unanswered;
--- a/packages/dispatch/src/workerSessionOptions.ts
+++ b/packages/dispatch/src/workerSessionOptions.ts
@@ -2,7 +2,7 @@
 
 import type { Clock, Timers } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
-import type { Run, RunOutcome } from "./RunTable";
+import type { Run, RunEnd } from "./RunTable";
 import type { WorkerAnnouncement, WorkerDriver } from "./types";
 
 export interface WorkerSessionOptions {
@@ -13,7 +13,7 @@
     readonly timers: Timers;
     readonly logger: Logger;
     readonly metrics: Metrics;
-    readonly onEnd: (run: Run, outcome: RunOutcome) => void;
+    readonly onEnd: (run: Run, end: RunEnd) => void;
     /** Called before the runs of a worker whose process ended without notice are reported as ended. */
     readonly onCrash: (runs: readonly Run[]) => void;
     /** Called for a listed run that this owner did not start. */
--- a/packages/dispatch/tests/ListReader.test.ts
+++ b/packages/dispatch/tests/ListReader.test.ts
@@ -18,9 +18,9 @@
         worker: toWorkerId("w"),
         runs,
         time: new WorkerTime(time),
-        onEnd: (run, outcome) => {
+        onEnd: (run, { outcome, cause }) => {
             runs.remove(run);
-            events.push(`${run.run} ${outcome}`);
+            events.push(`${run.run} ${outcome} ${cause}`);
         },
         onFound: run => events.push(`${run.run} found`),
         onStandstill: () => undefined,
@@ -40,7 +40,7 @@
     const { events, runs, addRun, list } = newFixture();
     addRun(1);
     list(66);
-    expect(events).toEqual(["1 lost", "66 found"]);
+    expect(events).toEqual(["1 lost replaced", "66 found"]);
     expect(runs.get(task)?.run).toBe(66);
 });
 
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -3,7 +3,15 @@
 import { toAddress, toJobId, toZoneId, VirtualTime } from "@anvilmux/common";
 import type { Milliseconds } from "@anvilmux/common";
 import { chooseBestFit, TaskScheduler, toTaskName, toWorkerId } from "@anvilmux/dispatch";
-import type { ConnectWorker, JobAnswer, JobRequest, JobSubmitter, RemoteScheduler, TaskName } from "@anvilmux/dispatch";
+import type {
+    ConnectWorker,
+    JobAnswer,
+    JobRequest,
+    JobSubmitter,
+    RemoteScheduler,
+    TaskName,
+    TaskSchedulerOptions,
+} from "@anvilmux/dispatch";
 import { LeasedWorker } from "@anvilmux/stand-ins";
 import { Metrics, newSilentLogger } from "@anvilmux/telemetry";
 
@@ -55,6 +63,10 @@
         fencingToken: number,
         getFencingToken: () => number = () => fencingToken,
         connect: ConnectWorker = this.connect,
+        telemetry: Pick<TaskSchedulerOptions, "logger" | "metrics"> = {
+            logger: newSilentLogger(),
+            metrics: new Metrics(),
+        },
     ): TaskScheduler {
         const scheduler = new TaskScheduler({
             connect,
@@ -64,8 +76,7 @@
             getRemoteSchedulers: () => this.remoteSchedulers,
             clock: this.time,
             timers: this.time,
-            logger: newSilentLogger(),
-            metrics: new Metrics(),
+            ...telemetry,
         });
         this.workers.forEach(worker => scheduler.setWorker(worker.announcement));
         return scheduler;
