Log what a new owner knows when it claims, begins and places

Cause: the log of an owner did not tell how long before the same process had released the workers, how many workers a new scheduler knew, or whether a placed task's job had been submitted before, so an owner that does not know of a run could not be told from one that ended it.

Change: `claimed ownership of the zone's workers` has sinceReleaseMs when this process released before; the line `scheduler begins` has the fencing token and the number of known workers; `task placed` has resubmitted and mayRunElsewhere only where they are true, which bounds the volume. No decision reads them.

--- a/packages/anvilmux/src/roles/WorkerOwnership.ts
+++ b/packages/anvilmux/src/roles/WorkerOwnership.ts
@@ -55,6 +55,8 @@
             this.currentScheduler.handleTokenRaised();
             return;
         }
+        const { logger, getFencingToken } = this.options;
+        logger.info("scheduler begins", { fencingToken: getFencingToken(), workers: workers.length });
         this.currentScheduler = this.newScheduler();
         this.ownerLinks = this.newOwnerLinks();
         this.ownerLinks.handleOwners(this.owners);
--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -59,6 +59,8 @@
     private raiseCount = 0;
     private highestSeenClaim = 0;
     private yieldsUntil: Milliseconds = 0;
+    /** When this entry last gave up a claim. */
+    private releasedAt: Milliseconds | undefined;
     /** When a worker first refused the current claim. */
     private fencedSince: Milliseconds | undefined;
 
@@ -171,6 +173,14 @@
     }
 
     private setClaim(claim: number, reason: string): void {
+        const now = this.options.clock.now();
+        const hadClaim = this.claimed > 0;
+        const sinceReleaseMs = hadClaim || this.releasedAt === undefined
+            ? undefined
+            : Math.round(now - this.releasedAt);
+        if (claim === 0) {
+            this.releasedAt = now;
+        }
         this.claimed = claim;
         this.fencedSince = undefined;
         this.options.logger.info(
@@ -178,6 +188,7 @@
             {
                 claim,
                 reason,
+                sinceReleaseMs,
             },
         );
         this.options.onClaim(claim);
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -38,6 +38,9 @@
         worker: session.id,
         freeMillicores: session.free.millicores,
         waitedMs: Math.round(waitedMs),
+        // Absent for most jobs, which bounds the volume.
+        resubmitted: job.request.resubmitted || undefined,
+        mayRunElsewhere: job.request.mayRunElsewhere || undefined,
     });
 };
 
--- a/packages/dispatch/tests/ZoneElection.test.ts
+++ b/packages/dispatch/tests/ZoneElection.test.ts
@@ -4,6 +4,7 @@
 import { ZoneElection } from "@anvilmux/dispatch";
 import type { Candidate, Fitness } from "@anvilmux/dispatch";
 import { newSilentLogger } from "@anvilmux/telemetry";
+import type { LogFields } from "@anvilmux/telemetry";
 
 class Entry {
     readonly election: ZoneElection;
@@ -12,6 +13,7 @@
     isIsolated = false;
     areNeededEntriesConnected = false;
     isAwaitingEntries = false;
+    readonly claims: LogFields[] = [];
 
     constructor(readonly id: string, readonly time: VirtualTime, number = 1) {
         this.election = new ZoneElection({
@@ -23,7 +25,11 @@
             areNeededEntriesConnected: () => this.areNeededEntriesConnected,
             isAwaitingEntries: () => this.isAwaitingEntries,
             clock: time,
-            logger: newSilentLogger(),
+            logger: {
+                ...newSilentLogger(),
+                info: (message, fields = {}) =>
+                    void (message.startsWith("claimed ownership") && this.claims.push(fields)),
+            },
             onClaim: () => undefined,
             onOwner: () => undefined,
         });
@@ -34,6 +40,17 @@
 const ready = (id: string, claim = 0): Candidate => ({ id, claim, fitness: "ready" });
 
 describe("zone election", () => {
+    test("the line on a claim does not tell how long ago the same process released the workers", async () => {
+        const time = new VirtualTime();
+        const entry = new Entry("a", time);
+        await time.advance(1_000);
+        entry.candidates = [ready("b", entry.election.claim + 1)];
+        await time.advance(400);
+        entry.candidates = [ready("b")];
+        await time.advance(400);
+        expect(entry.claims.map(claim => claim["sinceReleaseMs"])).toEqual([undefined, 400]);
+    });
+
     test("the ready entry with the smallest id claims after others had time to join", async () => {
         const time = new VirtualTime();
         const first = new Entry("a", time);
--- a/packages/dispatch/tests/runEnds.test.ts
+++ b/packages/dispatch/tests/runEnds.test.ts
@@ -101,6 +101,16 @@
     });
 });
 
+test("the line on a placement does not tell that the job was submitted before, or carries that for every job", async () => {
+    const { fixture, scheduler, find } = await newFixture();
+    fixture.submit(scheduler, fixture.newJob("first", patient));
+    fixture.submit(scheduler, fixture.newJob("again", { ...patient, resubmitted: true }));
+    await fixture.time.advance(4_000);
+    const [first, again] = find("task placed");
+    expect(first).toMatchObject({ job: "first", resubmitted: undefined, mayRunElsewhere: undefined });
+    expect(again).toMatchObject({ job: "again", resubmitted: true, mayRunElsewhere: undefined });
+});
+
 test("a line on a restart grows with the worker's runs", () => {
     const lines: LoggedLine[] = [];
     const { time } = new SchedulerFixture(0);
