Dispatch: a run found on a second worker does not hide the first

What callers saw: TWICE, or three runs. Cause: the scheduler kept one worker a task. A run found on another worker took its place, and when that one ended, the task was free although the first went on. Change: all workers on which a task may run are kept; of two runs the one found last is stopped at once, with an error line and anvilmux_second_runs_total, which is 0 unless a guarantee was broken.

--- a/packages/dispatch/src/TaskPlacer.ts
+++ b/packages/dispatch/src/TaskPlacer.ts
@@ -1,13 +1,13 @@
 /** Places single tasks on workers and orders their start. */
 
 import type { CrashSuspects } from "./CrashSuspects";
+import type { LiveRuns } from "./LiveRuns";
 import type { OwnedWorkers } from "./OwnedWorkers";
 import { getLowestRunNumber } from "./runNumbers";
 import { markPlaced } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask } from "./ScheduledJob";
 import { logPlacement } from "./schedulerLog";
 import type { SchedulerLogContext } from "./schedulerLog";
-import type { TaskName } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
 export class TaskPlacer {
@@ -15,8 +15,7 @@
         private readonly context: SchedulerLogContext,
         private readonly workers: OwnedWorkers,
         private readonly suspects: CrashSuspects,
-        /** The worker on which a task runs or may still run. */
-        private readonly liveRuns: Map<TaskName, WorkerSession>,
+        private readonly liveRuns: LiveRuns,
     ) {}
 
     /** False when the task may still run somewhere, or when no usable worker has capacity for it. */
@@ -32,7 +31,7 @@
         const { clock } = this.context;
         const run = Math.max(task.lastRun + 1, getLowestRunNumber(clock.wallNow()));
         markPlaced(job, task, session, run, clock.now());
-        this.liveRuns.set(request.name, session);
+        this.liveRuns.add(request.name, session);
         logPlacement(this.context, job, task, session);
         session.start(request, run, job.request.payload);
         return true;
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -9,6 +9,7 @@
 import { CrashSuspects } from "./CrashSuspects";
 import { JobTable } from "./JobTable";
 import { cannotMeetDeadline, mayHaveUnseenRuns, mayWorkersHaveUnseenRuns, newAbortAnswer } from "./jobTimeouts";
+import { LiveRuns } from "./LiveRuns";
 import { OwnedWorkers } from "./OwnedWorkers";
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
 import { PlacementRounds } from "./PlacementRounds";
@@ -17,12 +18,12 @@
 import type { Run, RunEnd } from "./RunTable";
 import { applyResubmission, markPlaced, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logAbortedJob, logClosedJob, logStalledRun, logUnassignedRun } from "./schedulerLog";
+import { logAbortedJob, logClosedJob, logSecondRun, logStalledRun, logUnassignedRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
 import { TaskPlacer } from "./TaskPlacer";
 import { TaskSpiller } from "./TaskSpiller";
 import type { TaskSpillerOptions } from "./TaskSpiller";
-import type { FreeCapacity, JobAnswer, JobRequest, JobSubmitter, TaskName, WorkerAnnouncement } from "./types";
+import type { FreeCapacity, JobAnswer, JobRequest, JobSubmitter, WorkerAnnouncement } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
 export type TaskSchedulerOptions =
@@ -31,8 +32,7 @@
 
 export class TaskScheduler {
     private readonly workers: OwnedWorkers;
-    /** The worker on which a task runs or may still run. */
-    private readonly liveRuns = new Map<TaskName, WorkerSession>();
+    private readonly liveRuns = new LiveRuns();
     private readonly jobs = new JobTable();
     /** Answers of ended jobs, for callers that resubmit a job because its answer was lost. */
     private readonly endedJobs: RecentMap<JobId, JobAnswer>;
@@ -237,9 +237,11 @@
 
     /** Assigns a run that is already in progress to its task. */
     private adopt(job: ScheduledJob, task: ScheduledTask): void {
-        const session = this.liveRuns.get(task.request.name);
+        const session = this.liveRuns.get(task.request.name).find(worker =>
+            isGoingOn(worker.getRun(task.request.name))
+        );
         const run = session?.getRun(task.request.name);
-        if (!session || !run || run.stopOrderedAt !== undefined || task.state !== "waiting") {
+        if (!session || !run || task.state !== "waiting") {
             return;
         }
         session.setRequest(run, task.request);
@@ -248,7 +250,15 @@
     }
 
     private handleFoundRun(session: WorkerSession, run: Run): void {
-        this.liveRuns.set(run.task, session);
+        const other = this.liveRuns.get(run.task).find(worker =>
+            worker !== session && isGoingOn(worker.getRun(run.task))
+        );
+        this.liveRuns.add(run.task, session);
+        if (other) {
+            logSecondRun(this.options, session, run, other);
+            session.stop(run.task);
+            return;
+        }
         const owner = this.jobs.findTask(run.task);
         if (owner) {
             this.adopt(owner.job, owner.task);
@@ -271,9 +281,7 @@
     }
 
     private handleRunCompletion(session: WorkerSession, run: Run, end: RunEnd): void {
-        if (this.liveRuns.get(run.task) === session) {
-            this.liveRuns.delete(run.task);
-        }
+        this.liveRuns.remove(run.task, session);
         const owner = this.jobs.findTask(run.task);
         if (owner && owner.task.session === session && owner.task.state === "placed") {
             this.completionHandler.handle(owner.job, owner.task, session, run, end);
@@ -351,3 +359,6 @@
             || (!job.request.spilled && mayHaveUnseenRuns(job, this.rounds.getView()));
     }
 }
+
+/** True for a run that is not being stopped. */
+const isGoingOn = (run: Run | undefined): boolean => run !== undefined && run.stopOrderedAt === undefined;
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -96,6 +96,22 @@
     });
 };
 
+export const logSecondRun = (
+    { metrics, logger }: SchedulerLogContext,
+    session: WorkerSession,
+    run: Run,
+    other: WorkerSession,
+): void => {
+    metrics.count("anvilmux_second_runs_total");
+    logger.error("task runs on two workers; the run found last is being stopped", {
+        task: run.task,
+        run: run.run,
+        worker: session.id,
+        otherRun: other.getRun(run.task)?.run,
+        otherWorker: other.id,
+    });
+};
+
 export const logStalledRun = (
     { clock, metrics, logger }: SchedulerLogContext,
     session: WorkerSession,
