Dispatch: a worker that starts again does not end the starts that are on their way to it

What callers saw: TWICE. Cause: the first list of a worker's new incarnation ended every run in the owner's table, also one whose start had no answer yet. The new incarnation, which has the same id and address, carried that start out while the task was started on another worker. Its deadline is no guard: it is a time on the former incarnation's clock. Change: a run ends with a restart when the former incarnation had listed it, or the list was requested after its confirmation. A start without an answer that was ordered from another incarnation is stopped, and ends once a list that was requested after the stop was accepted does not contain it. A sample of a former incarnation's clock is dropped with it, and a late answer of that one is no sample. Stops moved to RunStopper.ts. Ruled out: waiting for the deadline (another clock), a higher token for each restart (would invalidate the lists of the whole zone). The line "worker restarted" named all earlier runs as lost; its test asks for the same fields under their new name.

--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -13,8 +13,8 @@
 
 export interface ListReaderOptions
     extends Pick<WorkerSessionOptions, "clock" | "logger" | "onEnd" | "onFound" | "onStandstill"> {
-    /** Called when the worker runs in a new incarnation, which has none of the earlier runs. */
-    readonly onRestart: () => void;
+    /** Called with the runs that ended with the worker's former incarnation. */
+    readonly onRestart: (lost: readonly Run[]) => void;
     readonly worker: WorkerId;
     readonly runs: RunTable;
     readonly time: WorkerTime;
@@ -49,35 +49,39 @@
         }
         this.newestClock = list.clock;
         this.options.time.recordClock(list.clock, list.incarnation);
-        this.updateIncarnation(list.incarnation);
+        const isRestart = this.updateIncarnation(list.incarnation);
         const result = list.completions.some(completion => completion.number > this.lastCompletion)
             ? "ends"
             : "no-ends";
         this.acknowledgeCompletions(list);
         this.confirmRunning(list);
         if (list.completions.length < maximumListedCompletions) {
-            this.endMissing(list, sentAt);
+            this.endMissing(list, sentAt, isRestart);
         }
         return result;
     }
 
-    /** A new incarnation of the worker has none of the earlier runs and restarts the numbering of completions. */
-    private updateIncarnation(incarnation: number): void {
+    /**
+     * True for a new incarnation of the worker, which restarts the numbering of completions. It has none of the runs
+     * that the former one confirmed, but may receive starts that were sent to that one.
+     */
+    private updateIncarnation(incarnation: number): boolean {
         const formerIncarnation = this.listedIncarnation;
         const isNewIncarnation = formerIncarnation !== 0 && formerIncarnation !== incarnation;
         this.listedIncarnation = incarnation;
         if (isNewIncarnation) {
-            const { logger, worker, runs, onRestart } = this.options;
-            logger.warn("worker restarted; its runs are lost", {
+            const { logger, worker, runs } = this.options;
+            logger.warn("worker restarted", {
                 worker,
                 formerIncarnation,
                 incarnation,
-                lostRuns: runs.size,
+                earlierRuns: runs.size,
                 runs: runs.getAll().slice(0, maximumLoggedRuns).map(describe).join(", "),
             });
             this.lastCompletion = 0;
-            onRestart();
+            runs.getAll().forEach(run => run.stopAcceptedAt = undefined);
         }
+        return isNewIncarnation;
     }
 
     private acknowledgeCompletions(list: RunList): void {
@@ -106,6 +110,7 @@
             else if (record.run === item.run) {
                 record.state = "running";
                 record.confirmedAt = this.options.clock.now();
+                record.listedIn = list.incarnation;
                 this.recordProgress(record, item.percent, list.clock);
             }
         }
@@ -118,10 +123,15 @@
         }
     }
 
-    private endMissing(list: RunList, sentAt: Milliseconds): void {
-        const { clock, logger, worker, runs, onEnd } = this.options;
+    private endMissing(list: RunList, sentAt: Milliseconds, isRestart: boolean): void {
+        const { clock, logger, worker, runs, onEnd, onRestart } = this.options;
         const sentClock = list.clock - (clock.now() - sentAt);
-        for (const run of runs.findMissing(list, sentAt, sentClock)) {
+        const missing = runs.findMissing(list, sentAt, sentClock);
+        if (isRestart) {
+            onRestart(missing);
+            return;
+        }
+        for (const run of missing) {
             logger.info("run missing from the worker's list", {
                 worker,
                 task: run.task,
@@ -143,8 +153,10 @@
             request: undefined,
             orderedAt: this.options.clock.now(),
             startDeadline: 0,
+            incarnation: this.incarnation,
         });
         record.state = "running";
+        record.listedIn = this.incarnation;
         this.options.runs.add(record);
         this.options.onFound(record);
     }
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -45,24 +45,33 @@
     readonly orderedAt: Milliseconds;
     /** On the owner's clock: when the worker last confirmed that it runs. */
     confirmedAt: Milliseconds;
-    /** On the worker's clock: time after which an unanswered start can no longer be carried out. */
+    /** Incarnation that listed it as running; undefined while only an answer to its start, which names none, did. */
+    listedIn: number | undefined;
+    /** On the clock of `incarnation`: time after which an unanswered start can no longer be carried out. */
     readonly startDeadline: Milliseconds;
+    /** The worker's incarnation, as known when the run was ordered; a later one may receive the start, too. */
+    readonly incarnation: number;
     state: "ordered" | "running" | "uncertain";
     stopOrderedAt: Milliseconds | undefined;
+    /** On the owner's clock: when the present incarnation had accepted a stop; the run cannot start there any more. */
+    stopAcceptedAt: Milliseconds | undefined;
     readonly progress: RunProgress;
 }
 
-type NewRun = Pick<Run, "task" | "run" | "request" | "orderedAt" | "startDeadline">;
+type NewRun = Pick<Run, "task" | "run" | "request" | "orderedAt" | "startDeadline" | "incarnation">;
 
-export const newRun = ({ task, run, request, orderedAt, startDeadline }: NewRun): Run => ({
+export const newRun = ({ task, run, request, orderedAt, startDeadline, incarnation }: NewRun): Run => ({
     task,
     run,
     request,
     orderedAt,
     startDeadline,
+    incarnation,
     confirmedAt: 0,
+    listedIn: undefined,
     state: "ordered",
     stopOrderedAt: undefined,
+    stopAcceptedAt: undefined,
     progress: new RunProgress(),
 });
 
@@ -146,12 +155,20 @@
             if (listed.get(run.task) === run.run) {
                 return false;
             }
+            if (run.stopAcceptedAt !== undefined && sentAt >= run.stopAcceptedAt) {
+                return true;
+            }
             return run.state === "running"
-                ? sentAt > run.confirmedAt
-                : run.state === "uncertain" && sentClock > run.startDeadline;
+                ? sentAt > run.confirmedAt || (run.listedIn !== undefined && run.listedIn !== list.incarnation)
+                : run.state === "uncertain" && run.incarnation === list.incarnation && sentClock > run.startDeadline;
         });
     }
 
+    /** Runs whose start another incarnation than the given one may have received, or may receive yet. */
+    getUncertainOfOtherIncarnations(incarnation: number): readonly Run[] {
+        return this.getAll().filter(run => run.state === "uncertain" && run.incarnation !== incarnation);
+    }
+
     private setUsed(used: Resources): void {
         this.usedResources = used;
         this.onUsedChange();
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -16,11 +16,11 @@
     orderTimeoutMs,
     pollAfterValidityMs,
     startValidityMs,
-    stopRepeatMs,
     watchGraceMs,
     workerLeaseMs,
 } from "./constants";
 import { ListReader } from "./ListReader";
+import { RunStopper } from "./RunStopper";
 import { newRun, RunTable } from "./RunTable";
 import type { Run, RunEnd, RunEndCause, RunOutcome } from "./RunTable";
 import { logUnassignedRun } from "./schedulerLog";
@@ -39,6 +39,7 @@
     private readonly runs = new RunTable(() => this.updateFree());
     private freeResources: Resources;
     private readonly lists: ListReader;
+    private readonly stopper: RunStopper;
     private readonly workerTime: WorkerTime;
     private reachable = false;
     private hasCurrentList = false;
@@ -62,7 +63,13 @@
             runs: this.runs,
             time: this.workerTime,
             onEnd: (run, end) => this.end(run, end),
-            onRestart: () => this.endAll(this.getCrashOutcome(), "new-incarnation"),
+            onRestart: lost => this.endAll(lost, this.getCrashOutcome(), "new-incarnation"),
+        });
+        this.stopper = new RunStopper({
+            ...options,
+            runs: this.runs,
+            getIncarnation: () => this.lists.incarnation,
+            onUncertainStopped: () => void this.pollUncertainRuns(),
         });
         void this.runWatchLoop();
     }
@@ -121,7 +128,9 @@
     start(request: TaskRequest, run: number, payload: string): void {
         const task = request.name;
         const startDeadline = this.workerTime.now() + startValidityMs;
-        const record = newRun({ task, run, request, orderedAt: this.options.clock.now(), startDeadline });
+        const { incarnation } = this.lists;
+        const orderedAt = this.options.clock.now();
+        const record = newRun({ task, run, request, orderedAt, startDeadline, incarnation });
         const replaced = this.runs.add(record);
         if (replaced) {
             logUnassignedRun(this.options, this, replaced, { outcome: "lost", cause: "replaced" });
@@ -136,8 +145,8 @@
     /** Orders a stop, repeated until the run has ended. */
     stop(task: TaskName): void {
         const run = this.runs.get(task);
-        if (run && run.stopOrderedAt === undefined) {
-            this.orderStop(run);
+        if (run) {
+            this.stopper.stop(run);
         }
     }
 
@@ -177,19 +186,13 @@
         this.options.onFreeChange();
     }
 
-    private orderStop(run: Run): void {
-        run.stopOrderedAt = this.options.clock.now();
-        this.options.metrics.count("anvilmux_stop_orders_total");
-        void this.options.driver.stop(run.task, run.run, this.options.getFencingToken());
-    }
-
     private handleStartAnswer(run: Run, fencingToken: number, answer: StartAnswer): void {
         if (this.closed || this.runs.get(run.task) !== run) {
             return;
         }
         switch (answer.kind) {
             case "started":
-                this.workerTime.recordClock(answer.clock);
+                this.workerTime.recordClock(answer.clock, run.incarnation);
                 this.paused.recordAnswered();
                 run.confirmedAt = this.options.clock.now();
                 run.state = "running";
@@ -197,7 +200,7 @@
             case "refused":
                 if (answer.clock !== undefined) {
                     // A start refused as late shows that the clock estimate is off; this corrects it.
-                    this.workerTime.recordClock(answer.clock);
+                    this.workerTime.recordClock(answer.clock, run.incarnation);
                 }
                 this.handleStartRefusal(run, fencingToken, answer);
                 return;
@@ -224,6 +227,7 @@
             this.paused.recordUnanswered();
         }
         logUnansweredStart(this.options.logger, this.id, run, answer);
+        this.stopper.stopUncertainOfOtherIncarnations();
         const pollDelayMs = run.startDeadline - this.workerTime.now() + pollAfterValidityMs;
         this.options.timers.after(Math.max(0, pollDelayMs), () => void this.pollUncertainRuns());
     }
@@ -332,7 +336,8 @@
             logReachable(this.options.logger, this.id, this.runs.size, this.workerTime);
             this.options.onChange();
         }
-        this.repeatStops();
+        this.stopper.stopUncertainOfOtherIncarnations();
+        this.stopper.repeat();
         return result === "ends" ? completionBatchMs : 0;
     }
 
@@ -348,7 +353,7 @@
         }
         if (now > this.workerTime.runsPossibleUntil && this.runs.size > 0) {
             const outcome = this.isProcessDown ? this.getCrashOutcome() : "lost";
-            this.endAll(outcome, this.isProcessDown ? "process-down" : "lease-expired");
+            this.endAll(this.runs.getAll(), outcome, this.isProcessDown ? "process-down" : "lease-expired");
         }
         if (this.announced.state === "left" && this.runs.size === 0) {
             this.handleRemoved();
@@ -362,27 +367,17 @@
         if (this.closed) {
             return;
         }
-        this.endAll(this.getCrashOutcome(), "worker-gone");
+        this.endAll(this.runs.getAll(), this.getCrashOutcome(), "worker-gone");
         this.close();
         this.options.onRemoved();
     }
 
-    private repeatStops(): void {
-        const now = this.options.clock.now();
-        for (const run of this.runs.getAll()) {
-            if (run.stopOrderedAt !== undefined && now - run.stopOrderedAt > stopRepeatMs) {
-                this.orderStop(run);
-            }
-        }
-    }
-
     /** How runs end with their worker's process; one that announced its end is expected to take its runs with it. */
     private getCrashOutcome(): RunOutcome {
         return this.announced.state === "ready" ? "crashed" : "lost";
     }
 
-    private endAll(outcome: RunOutcome, cause: RunEndCause): void {
-        const runs = this.runs.getAll();
+    private endAll(runs: readonly Run[], outcome: RunOutcome, cause: RunEndCause): void {
         if (outcome === "crashed" && runs.length > 0) {
             this.options.onCrash(runs);
         }
--- a/packages/dispatch/src/WorkerTime.ts
+++ b/packages/dispatch/src/WorkerTime.ts
@@ -10,8 +10,8 @@
 interface ClockSample {
     readonly offset: Milliseconds;
     readonly at: Milliseconds;
-    /** Incarnation of the worker that reported it; undefined when the answer did not tell. */
-    readonly incarnation: number | undefined;
+    /** Incarnation of the worker that reported it, as far as the owner knew. */
+    readonly incarnation: number;
 }
 
 export class WorkerTime {
@@ -43,7 +43,7 @@
         return this.best && this.clock.now() - this.best.at;
     }
 
-    /** Incarnation that reported the sample behind the estimate; undefined when its answer did not tell. */
+    /** Incarnation that reported the sample behind the estimate; undefined while there is none. */
     get sampleIncarnation(): number | undefined {
         return this.best?.incarnation;
     }
@@ -53,11 +53,15 @@
         return this.latestAheadMs;
     }
 
-    recordClock(workerClock: Milliseconds, incarnation?: number): void {
+    /** `incarnation`: the one that reported its clock; each has a clock of its own, so later ones replace any sample. */
+    recordClock(workerClock: Milliseconds, incarnation: number): void {
         const at = this.clock.now();
         const offset = workerClock - at;
+        if (this.best && incarnation < this.best.incarnation) {
+            return;
+        }
         this.latestAheadMs = this.best && this.now() - workerClock;
-        if (!this.best || isBetter(offset, this.best, at)) {
+        if (!this.best || incarnation > this.best.incarnation || isBetter(offset, this.best, at)) {
             this.best = { offset, at, incarnation };
         }
     }
--- a/packages/dispatch/tests/ListReader.test.ts
+++ b/packages/dispatch/tests/ListReader.test.ts
@@ -27,7 +27,7 @@
         onRestart: () => undefined,
     });
     const addRun = (run: number) => {
-        const record = newRun({ task, run, request: undefined, orderedAt: 0, startDeadline: 0 });
+        const record = newRun({ task, run, request: undefined, orderedAt: 0, startDeadline: 0, incarnation: 1 });
         record.state = "running";
         runs.add(record);
     };
--- a/packages/dispatch/tests/RunTable.test.ts
+++ b/packages/dispatch/tests/RunTable.test.ts
@@ -12,7 +12,7 @@
 });
 
 const newKnownRun = (name: string, run: number, request: TaskRequest | undefined): Run =>
-    newRun({ task: toTaskName(name), run, request, orderedAt: 0, startDeadline: 100 });
+    newRun({ task: toTaskName(name), run, request, orderedAt: 0, startDeadline: 100, incarnation: 1 });
 
 describe("table of a worker's runs", () => {
     test("a found run is unknown until its request is set", () => {
--- a/packages/dispatch/tests/runEnds.test.ts
+++ b/packages/dispatch/tests/runEnds.test.ts
@@ -67,8 +67,8 @@
         await fixture.time.advance(600);
         worker.restart();
         await fixture.time.advance(600);
-        const [restart] = find("worker restarted; its runs are lost");
-        expect(restart).toMatchObject({ worker: "worker-1", formerIncarnation: 1, incarnation: 2, lostRuns: 2 });
+        const [restart] = find("worker restarted");
+        expect(restart).toMatchObject({ worker: "worker-1", formerIncarnation: 1, incarnation: 2, earlierRuns: 2 });
         expect(restart!["runs"]).toMatch(/^a\.0 \d+ running, a\.1 \d+ running$/);
         expect(find(runEnd)[0]).toMatchObject({ cause: "new-incarnation", incarnation: 2, announcedIncarnation: 1 });
     });
@@ -129,10 +129,10 @@
     reader.read({ clock: 1, incarnation: 1, running: [], completions: [] }, 0);
     for (let index = 0; index < 40; index++) {
         const task = toTaskName(`job.${index}`);
-        runs.add(newRun({ task, run: 1, request: undefined, orderedAt: 0, startDeadline: 0 }));
+        runs.add(newRun({ task, run: 1, request: undefined, orderedAt: 0, startDeadline: 0, incarnation: 1 }));
     }
     reader.read({ clock: 1, incarnation: 2, running: [], completions: [] }, 0);
-    expect(lines[0]).toMatchObject({ lostRuns: 40 });
+    expect(lines[0]).toMatchObject({ earlierRuns: 40 });
     expect(lines[0]!["runs"]).toBe(
         "job.0 1 ordered, job.1 1 ordered, job.2 1 ordered, job.3 1 ordered, job.4 1 ordered",
     );
