Dispatch: a job sent again waits for its tasks in a zone that is out of reach

Cause: a job with tasks in a zone that got out of reach is answered as unknown and forgotten; the caller sends it again 1.3 s later, and its tasks started here, while the other zone had yet to notice the loss, stop them, or let the lease of a silent worker expire. Change: the owner remembers such jobs for as long as their tasks may run there.

--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -5,7 +5,14 @@
  */
 
 import type { JobId, Milliseconds, Unsubscribe } from "@anvilmux/common";
-import { endedJobRetentionMs, maximumEndedJobs, orphanGraceMs, schedulerTickMs, spilledGraceMs } from "./constants";
+import {
+    endedJobRetentionMs,
+    maximumEndedJobs,
+    orphanGraceMs,
+    schedulerTickMs,
+    spilledGraceMs,
+    takeoverUncertaintyMs,
+} from "./constants";
 import { CrashSuspects } from "./CrashSuspects";
 import { JobTable } from "./JobTable";
 import { cannotMeetDeadline, mayHaveUnseenRuns, mayWorkersHaveUnseenRuns, newAbortAnswer } from "./jobTimeouts";
@@ -36,6 +43,8 @@
     private readonly jobs = new JobTable();
     /** Answers of ended jobs, for callers that resubmit a job because its answer was lost. */
     private readonly endedJobs: RecentMap<JobId, JobAnswer>;
+    /** Jobs answered as unknown while they had tasks in a zone out of reach, and until when these may run there. */
+    private readonly outOfReach: RecentMap<JobId, Milliseconds>;
     private readonly spiller: TaskSpiller;
     private readonly completionHandler: RunCompletionHandler;
     private readonly suspects: CrashSuspects;
@@ -49,6 +58,7 @@
     constructor(private readonly options: TaskSchedulerOptions) {
         this.ownsSince = options.clock.now();
         this.endedJobs = new RecentMap(options.clock, endedJobRetentionMs, maximumEndedJobs);
+        this.outOfReach = new RecentMap(options.clock, takeoverUncertaintyMs, maximumEndedJobs);
         this.suspects = new CrashSuspects(options.clock);
         const events: TaskEvents = {
             onDone: (job, task) => this.markTaskDone(job, task),
@@ -118,6 +128,7 @@
             return;
         }
         const job = newScheduledJob(request, submitter, now);
+        job.mayRunElsewhereUntil = Math.max(job.mayRunElsewhereUntil, this.outOfReach.get(request.id) ?? 0);
         const obstacle = this.findPermanentObstacle(request);
         if (obstacle) {
             this.answer(job, obstacle);
@@ -202,7 +213,11 @@
 
     /** The scheduler of another zone is disconnected; whether the tasks forwarded to it run is unknown. */
     handleRemoteDisconnected(zone: string): void {
-        this.jobs.getAll().forEach(job => this.spiller.handleDisconnected(zone, job));
+        const endsBy = this.options.clock.now() + takeoverUncertaintyMs;
+        for (const job of this.jobs.getAll().filter(({ remoteTasks }) => remoteTasks.has(zone))) {
+            this.outOfReach.set(job.request.id, endsBy);
+            this.spiller.handleDisconnected(zone, job);
+        }
     }
 
     /** The fencing token was raised because a worker accepted a higher one; another owner may have started tasks. */
--- a/packages/dispatch/src/TaskSpiller.ts
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -73,14 +73,12 @@
         tasks.forEach(task => this.events.onRequeue(job, task));
     }
 
-    /** The scheduler of another zone is disconnected; whether the tasks forwarded to it run is unknown. */
+    /** The scheduler of a zone that has tasks of the job is disconnected; whether they run is unknown. */
     handleDisconnected(zone: string, job: ScheduledJob): void {
-        if (job.remoteTasks.has(zone)) {
-            this.events.onFinish(job, {
-                kind: "unknown",
-                reason: `tasks are in zone "${zone}", which is out of reach`,
-            });
-        }
+        this.events.onFinish(job, {
+            kind: "unknown",
+            reason: `tasks are in zone "${zone}", which is out of reach`,
+        });
     }
 
     /** Free capacity that other zones reported last, for the log. */
--- a/packages/dispatch/tests/runsWithoutProof.test.ts
+++ b/packages/dispatch/tests/runsWithoutProof.test.ts
@@ -72,6 +72,31 @@
         expect(fixture.answers.get("a")?.kind).toBe("unknown");
     });
 
+    test("a job sent again waits for the end of its tasks in a zone that is out of reach", async () => {
+        const fixture = new SchedulerFixture(1);
+        const scheduler = fixture.newScheduler(1);
+        await fixture.time.advance(20);
+        fixture.remoteSchedulers = [{
+            zone: "eire-cork",
+            free: { desk: [16_000] },
+            submit: () => true,
+            cancel: () => undefined,
+        }];
+        const request = fixture.newJob("a", { tasks: 3, runMs: 100, objectiveMs: 9_000 });
+        fixture.submit(scheduler, request);
+        await fixture.time.advance(30);
+        expect(fixture.remoteJobs).toEqual(["a"]);
+        fixture.remoteSchedulers = [];
+        scheduler.handleRemoteDisconnected("eire-cork");
+        expect(fixture.answers.get("a")?.kind).toBe("unknown");
+        await fixture.time.advance(1_300);
+        fixture.submit(scheduler, request, "another entry");
+        await fixture.time.advance(300);
+        expect(fixture.startedTasks).not.toContain("a.2");
+        await fixture.time.advance(1_000);
+        expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
+    });
+
     test("the end of one of two runs of a task leaves the other one known", async () => {
         const fixture = new SchedulerFixture(3);
         const scheduler = fixture.newScheduler(1);
