Leased stand-in worker: a restarted worker knows nothing of before

Cause: a simulated worker that restarted kept its lease end and its clock, and an order on its way was carried out while it was down. A late start of an earlier run replaced the task's present run, whose end was then never reported. Change: the lease ends with the life, the clock begins anew when the option clockStartedAt is given, orders that arrive while the worker is down are not carried out, and runs are kept by task and number.

--- a/stand-ins/src/LeasedWorker.ts
+++ b/stand-ins/src/LeasedWorker.ts
@@ -40,6 +40,11 @@
     readonly announcement: WorkerAnnouncement;
     readonly clock: Clock;
     readonly timers: Timers;
+    /**
+     * Time at which the worker's own clock read zero. When given, a restarted worker's clock begins anew; otherwise it
+     * continues.
+     */
+    readonly clockStartedAt?: Milliseconds;
     /** Run time of a task. */
     readonly getRunMs: (task: TaskName) => Milliseconds;
     /** Resources of a task. */
@@ -72,7 +77,9 @@
     /** Rate of the worker's clock relative to the given one. */
     clockRate = 1;
     private isDown = false;
-    private readonly runs = new Map<TaskName, LeasedRun>();
+    private clockStartedAt: Milliseconds;
+    /** Runs by task and number: nothing keeps an order that is carried out late from starting an earlier run. */
+    private readonly runs = new Map<string, LeasedRun>();
     private readonly lastRuns = new Map<TaskName, number>();
     private completions: ListedCompletion[] = [];
     private nextCompletion = 1;
@@ -84,6 +91,7 @@
 
     constructor(private readonly options: LeasedWorkerOptions) {
         this.incarnation = options.announcement.incarnation;
+        this.clockStartedAt = options.clockStartedAt ?? 0;
         options.timers.every(leaseCheckMs, () => this.checkLease());
     }
 
@@ -120,7 +128,11 @@
         this.completions = [];
         this.nextCompletion = 1;
         this.fencingToken = 0;
+        this.leaseUntil = 0;
         this.lastRuns.clear();
+        if (this.options.clockStartedAt !== undefined) {
+            this.clockStartedAt = this.options.clock.now();
+        }
     }
 
     connect(): WorkerDriver {
@@ -145,7 +157,7 @@
     }
 
     private now(): Milliseconds {
-        return this.options.clock.now() * this.clockRate;
+        return (this.options.clock.now() - this.clockStartedAt) * this.clockRate;
     }
 
     private wait(duration: Milliseconds): Promise<void> {
@@ -165,6 +177,9 @@
     }
 
     private execute(order: StartOrder): StartAnswer {
+        if (this.isDown) {
+            return { kind: "unanswered", reason: "connection closed" };
+        }
         if (order.fencingToken < this.fencingToken) {
             return { kind: "refused", reason: "fence", clock: this.now() };
         }
@@ -173,7 +188,7 @@
             return { kind: "refused", reason: "late", clock: this.now() };
         }
         this.extendLease(order.deadline);
-        if (this.runs.get(order.task)?.run === order.run) {
+        if (this.runs.has(getKey(order))) {
             return { kind: "started", clock: this.now() };
         }
         if (order.run <= (this.lastRuns.get(order.task) ?? 0)) {
@@ -196,7 +211,7 @@
             stallAfterMs: this.stallAfterMs,
             cancelCompletion: () => undefined,
         };
-        this.runs.set(order.task, run);
+        this.runs.set(getKey(run), run);
         this.usedResources = addResources(this.usedResources, resources);
         this.options.onStart(order.task, order.run);
         const runMs = this.options.getRunMs(order.task);
@@ -212,8 +227,8 @@
             return false;
         }
         this.lastRuns.set(task, Math.max(run, this.lastRuns.get(task) ?? 0));
-        const present = this.runs.get(task);
-        if (present?.run === run) {
+        const present = this.runs.get(getKey({ task, run }));
+        if (present) {
             present.cancelCompletion();
             present.cancelCompletion = this.options.timers.after(
                 stopDurationMs,
@@ -284,11 +299,11 @@
     }
 
     private completeRun(run: LeasedRun, how: RunResult): void {
-        if (this.runs.get(run.task) !== run) {
+        if (this.runs.get(getKey(run)) !== run) {
             return;
         }
         run.cancelCompletion();
-        this.runs.delete(run.task);
+        this.runs.delete(getKey(run));
         this.usedResources = subtractResources(this.usedResources, run.resources);
         this.lastRuns.set(run.task, Math.max(run.run, this.lastRuns.get(run.task) ?? 0));
         this.completions.push({ number: this.nextCompletion++, task: run.task, run: run.run, how });
@@ -296,3 +311,5 @@
         this.waiters.splice(0).forEach(resolve => resolve());
     }
 }
+
+const getKey = ({ task, run }: Pick<LeasedRun, "task" | "run">): string => `${task} ${run}`;
