--- a/packages/dispatch/tests/simulation/SimulatedEntry.ts
+++ b/packages/dispatch/tests/simulation/SimulatedEntry.ts
@@ -3,9 +3,9 @@
  * entries and to the owner of the other zone. The simulation decides whom it takes for the owner.
  */
 
-import type { JobId, Milliseconds, VirtualTime } from "@anvilmux/common";
+import type { JobId, Milliseconds, Timers, VirtualTime } from "@anvilmux/common";
 import { chooseBestFit, PendingJobs, TaskScheduler } from "@anvilmux/dispatch";
-import type { JobRequest, OwnerLink, RemoteScheduler } from "@anvilmux/dispatch";
+import type { ConnectWorker, JobRequest, OwnerLink, RemoteScheduler, WorkerAnnouncement } from "@anvilmux/dispatch";
 import type { LeasedWorker } from "@anvilmux/stand-ins";
 import { Metrics } from "@anvilmux/telemetry";
 import type { LogFields, Logger } from "@anvilmux/telemetry";
@@ -16,6 +16,12 @@
     readonly zone: string;
     readonly time: VirtualTime;
     readonly workers: readonly LeasedWorker[];
+    /** Timers of the entry's process; those of `time` by default. */
+    readonly timers?: Timers;
+    /** Connects to a worker; directly by default. */
+    readonly connect?: ConnectWorker;
+    /** The workers that the entry knows; all by default. */
+    readonly getKnownWorkers?: () => readonly WorkerAnnouncement[];
     readonly drawLatency: () => Milliseconds;
     readonly onFenced: (entry: SimulatedEntry, token: number) => void;
     readonly logger: Logger;
@@ -40,11 +46,11 @@
     private readonly connections = new Map<SimulatedEntry, Connection>();
 
     constructor(private readonly options: SimulatedEntryOptions) {
-        const { time, logger } = options;
+        const { time, logger, timers = time } = options;
         this.pendingJobs = new PendingJobs({
             getOwner: () => this.getOwnerLink(),
             clock: time,
-            timers: time,
+            timers,
             logger,
             metrics: new Metrics(),
         });
@@ -66,7 +72,8 @@
         }
         else {
             this.scheduler = this.newScheduler();
-            this.options.workers.forEach(worker => this.scheduler?.setWorker(worker.announcement));
+            const { workers, getKnownWorkers = () => workers.map(worker => worker.announcement) } = this.options;
+            getKnownWorkers().forEach(worker => this.scheduler?.setWorker(worker));
         }
         this.setOwner(this);
     }
@@ -226,15 +233,17 @@
     }
 
     private newScheduler(): TaskScheduler {
-        const { time, workers, logger } = this.options;
+        const { time, workers, logger, timers = time } = this.options;
+        const connectDirectly: ConnectWorker = target =>
+            workers.find(worker => worker.announcement.id === target.id)!.connect();
         return new TaskScheduler({
-            connect: announcement => workers.find(worker => worker.announcement.id === announcement.id)!.connect(),
+            connect: this.options.connect ?? connectDirectly,
             choose: chooseBestFit,
             getFencingToken: () => this.claim,
             onFenced: token => this.options.onFenced(this, token),
             getRemoteSchedulers: () => this.getRemoteSchedulers(),
             clock: time,
-            timers: time,
+            timers,
             logger,
             metrics: new Metrics(),
         });
