--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -41,7 +41,8 @@
     private readonly runTimes = new Map<string, Milliseconds>();
     private readonly sizes = new Map<string, number>();
 
-    constructor(workerCount: number) {
+    /** `workerClockMs`: the workers' clocks at the start; with it, a restarted worker's clock begins anew. */
+    constructor(workerCount: number, private readonly workerClockMs?: Milliseconds) {
         for (let number = 1; number <= workerCount; number++) {
             this.workers.push(this.newWorker(number));
         }
@@ -129,6 +130,7 @@
             },
             clock: this.time,
             timers: this.time,
+            ...this.workerClockMs === undefined ? {} : { clockStartedAt: -this.workerClockMs },
             getRunMs: task => this.runTimes.get(getJob(task)) ?? 100,
             getResources: task => ({
                 millicores: this.sizes.get(getJob(task)) ?? 6_000,
