Dispatch: an owner reckons with the lease that a former owner granted last

Cause: the time until which runs are possible on a silent worker was reckoned from this owner's own grants. A lease belongs to the worker and holds everything that runs there: an owner that was listed a worker's runs by a poll, which grants nothing, and whose watches then stay unanswered, reckons with the 132 ms of its start, while the lease of the former owner, or of its own former token, holds the run for up to a second. It starts the task elsewhere. Change: with the first list under a token, by which the worker refuses former owners from then on, the longest lease that any of them can have granted counts as granted now.

--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -331,7 +331,11 @@
         }
         const wasUsable = this.reachable && this.hasCurrentList;
         this.reachable = true;
-        this.hasCurrentList ||= sentAt >= this.listsValidFrom;
+        if (!this.hasCurrentList && sentAt >= this.listsValidFrom) {
+            this.hasCurrentList = true;
+            // From now on the worker refuses a former owner, whose last lease may have been granted just before.
+            this.workerTime.recordGrant(this.options.clock.now(), workerLeaseMs);
+        }
         if (!wasUsable && this.hasCurrentList) {
             logReachable(this.options.logger, this.id, this.runs.size, this.workerTime);
             this.options.onChange();
