Dispatch: a listed run of another owner is known also when its number is lower

What callers saw: TWICE. Cause: of a listed task only the run in the owner's own record was looked for. A run that another owner had started under a lower number was ignored; the owner's own start, which had no answer, ended as missing, and the task was started elsewhere. Change: runs are looked up by task and number, and listed runs without a record are added after the missing ones have ended, so that the task is never without a run in between.

--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -58,6 +58,7 @@
         if (list.completions.length < maximumListedCompletions) {
             this.endMissing(list, sentAt, isRestart);
         }
+        this.addFoundRuns(list);
         return result;
     }
 
@@ -99,15 +100,11 @@
     private confirmRunning(list: RunList): void {
         for (const item of list.running) {
             const record = this.options.runs.get(item.task);
-            if (!record) {
-                this.addFoundRun(item.task, item.run);
-            }
-            else if (record.run < item.run) {
+            if (record && record.run < item.run) {
                 // Another owner started the task again after this one's run had ended.
                 this.options.onEnd(record, { outcome: "lost", cause: "replaced" });
-                this.addFoundRun(item.task, item.run);
             }
-            else if (record.run === item.run) {
+            else if (record?.run === item.run) {
                 record.state = "running";
                 record.confirmedAt = this.options.clock.now();
                 record.listedIn = list.incarnation;
@@ -146,6 +143,13 @@
         }
     }
 
+    /** After the missing runs have ended: a listed run of another owner may have a lower number than one of them. */
+    private addFoundRuns(list: RunList): void {
+        list.running
+            .filter(item => this.options.runs.get(item.task) === undefined)
+            .forEach(item => this.addFoundRun(item.task, item.run));
+    }
+
     private addFoundRun(task: TaskName, run: number): void {
         const record = newRun({
             task,
--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -150,9 +150,9 @@
      * `sentClock` on the worker's.
      */
     findMissing(list: RunList, sentAt: Milliseconds, sentClock: Milliseconds): readonly Run[] {
-        const listed = new Map(list.running.map(item => [item.task, item.run]));
+        const listed = new Set(list.running.map(getRunKey));
         return this.getAll().filter(run => {
-            if (listed.get(run.task) === run.run) {
+            if (listed.has(getRunKey(run))) {
                 return false;
             }
             if (run.stopAcceptedAt !== undefined && sentAt >= run.stopAcceptedAt) {
@@ -174,3 +174,6 @@
         this.onUsedChange();
     }
 }
+
+/** A worker may list two runs of a task that were started by different owners. */
+const getRunKey = ({ task, run }: Pick<Run, "task" | "run">): string => `${task} ${run}`;
