Dispatch: a found run is not ended by a list that was requested before it was found

Cause: a run that was found in a list counted as never confirmed, so that a list which was requested earlier, and read later with the same millisecond of the worker's clock, ended it as missing while it ran. Evidence: ListReader.test.ts, "a run that was found is not ended ...": [66 found, 66 lost] before, [66 found] after. Change: the list that a run was found in confirms it.

--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -160,6 +160,7 @@
             incarnation: this.incarnation,
         });
         record.state = "running";
+        record.confirmedAt = record.orderedAt;
         record.listedIn = this.incarnation;
         this.options.runs.add(record);
         this.options.onFound(record);
--- a/packages/dispatch/tests/ListReader.test.ts
+++ b/packages/dispatch/tests/ListReader.test.ts
@@ -31,9 +31,12 @@
         record.state = "running";
         runs.add(record);
     };
-    const list = (run: number) =>
-        reader.read({ clock: 1, incarnation: 1, running: [{ task, run, percent: 0 }], completions: [] }, 0);
-    return { events, runs, addRun, list };
+    /** Reads a list, with one run or none, that was requested at `sentAt`. */
+    const list = (run: number | undefined, sentAt = 0) => {
+        const running = run === undefined ? [] : [{ task, run, percent: 0 }];
+        return reader.read({ clock: 1, incarnation: 1, running, completions: [] }, sentAt);
+    };
+    return { events, runs, addRun, list, time };
 };
 
 test("a later run of a task, which another owner started, replaces the run that is known", () => {
@@ -50,3 +53,13 @@
     list(1);
     expect(events).not.toContain("1 found");
 });
+
+test("a run that was found is not ended by a list that was requested before", async () => {
+    const { events, runs, list, time } = newFixture();
+    await time.advance(10);
+    list(66);
+    await time.advance(10);
+    list(undefined, 5);
+    expect(events).toEqual(["66 found"]);
+    expect(runs.get(task)?.run).toBe(66);
+});
