An address that cannot be connected to is an unreachable peer, not the end of the process

Seen: an entry that was told of another one at 127.0.0.1:99999 threw at each review of its connections. The first throw closed the connection that had brought the message; the entry stayed known, and the next review, in the timer of the election, ended the process. Cause: node's connect throws at once for a port out of range, and Link called it unguarded, in the constructor and in the timer of a later attempt. Ruled out: hosts that are no address; those fail later, with an event. Change: Link takes a throw for a failed attempt, told to its user in a turn of its own as the others are, and tries again with the usual delay.

--- a/packages/fleet/tests/ZonePeers.test.ts
+++ b/packages/fleet/tests/ZonePeers.test.ts
@@ -171,6 +171,16 @@
     }, 30_000);
 });
 
+test("an entry announced with a port out of range ends the process at the next review", async () => {
+    const entry = await startEntry("b");
+    const odd = { ...newMember("a", "z1", 1), address: toAddress("127.0.0.1:99999") };
+    const sound = newMember("0", "z1", await findFreePort());
+    entry.peers.handleMembers([odd, sound]);
+    entry.peers.review();
+    await waitUntil(() => !entry.peers.isAwaitingPeers());
+    expect(entry.peers.getCandidates()).toEqual([]);
+}, 30_000);
+
 describe("structure of a zone", () => {
     const startZone = async (count: number): Promise<readonly EntryFixture[]> => {
         const ids = Array.from({ length: count }, (_, index) => `e${String(index).padStart(2, "0")}`);
--- a/packages/links/src/Link.ts
+++ b/packages/links/src/Link.ts
@@ -1,6 +1,6 @@
 /** The client end of a persistent connection; reconnects with exponential backoff after a failure or close. */
 
-import { splitAddress } from "@anvilmux/common";
+import { getErrorMessage, splitAddress } from "@anvilmux/common";
 import type { Address, Milliseconds, Unsubscribe } from "@anvilmux/common";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
@@ -65,15 +65,17 @@
     }
 
     private connect(): void {
-        const { address, openSocket = openTcpSocket } = this.options;
-        const socket = openSocket(address);
+        const socket = this.openSocket();
+        if (!socket) {
+            this.cancelReconnect = this.environment.timers.after(0, () => this.handleUnreachable());
+            return;
+        }
         let settled = false;
         const fail = () => {
             if (!settled) {
                 settled = true;
                 socket.destroy();
-                this.scheduleReconnect();
-                this.options.onUnreachable?.();
+                this.handleUnreachable();
             }
         };
         const cancelTimeout = this.environment.timers.after(connectTimeoutMs, fail);
@@ -92,6 +94,23 @@
         });
     }
 
+    /** Undefined for an address that no connection can be opened to, as another program may announce it. */
+    private openSocket(): Socket | undefined {
+        const { address, openSocket = openTcpSocket } = this.options;
+        try {
+            return openSocket(address);
+        }
+        catch (error) {
+            this.environment.logger.warn("address cannot be connected to", { address, reason: getErrorMessage(error) });
+            return undefined;
+        }
+    }
+
+    private handleUnreachable(): void {
+        this.scheduleReconnect();
+        this.options.onUnreachable?.();
+    }
+
     private open(socket: Socket): void {
         this.reconnectDelay = initialReconnectDelayMs;
         this.channel = new Channel<Incoming, Outgoing>(socket, this.environment.clock, {
