Messages between instances are checked where they arrive

Seen: a message that its type does not describe passed the parser and failed later: a submitted job with a task of null, a call without an order, an answer to a call without a list or a report of room of null threw in a timer or a promise of the scheduler, which ends the process; an odd member or claim went through control to all entries, where it closed their connections to control again and again; one odd worker, member or owner hid those behind it in the list; a configuration of index 1e300 let no other follow. Cause: Channel checks only that a line is an object with a type; the readers trust the rest. Change: checkMessage at the four readers (ControlHub, ControlLinks, ZonePeers, OwnerLinks) closes the connection of an odd message. Of the rows of members, owners, workers and control addresses, those that cannot be used are left out with a line in the log. Weighed: to leave out odd messages and keep the connection (its sender would wait for answers that never come).

--- a/packages/fleet/src/ControlHub.ts
+++ b/packages/fleet/src/ControlHub.ts
@@ -8,6 +8,7 @@
 import { encodeMessage, LinkServer } from "@anvilmux/links";
 import type { ChannelChecker, EncodedMessage, LinkConnection, LinkEnvironment, Session } from "@anvilmux/links";
 import type { Metrics } from "@anvilmux/telemetry";
+import { checkMessage } from "./checkMessages";
 import type { EntryMember, FromControl, ToControl } from "./messages";
 import { WorkerDirectory } from "./WorkerDirectory";
 
@@ -144,6 +145,7 @@
     }
 
     private receive(entry: ConnectedEntry, message: ToControl): void {
+        checkMessage(message);
         switch (message.type) {
             case "hello":
                 this.handleHello(entry, message.member, message.configurationIndex);
--- a/packages/fleet/src/ControlLinks.ts
+++ b/packages/fleet/src/ControlLinks.ts
@@ -7,6 +7,7 @@
 import type { WorkerAnnouncement } from "@anvilmux/dispatch";
 import { Link } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment } from "@anvilmux/links";
+import { checkMessage, selectAddresses, selectAnnouncements, selectMembers, selectOwners } from "./checkMessages";
 import { ConfigurationFetch } from "./ConfigurationFetch";
 import type { EntryMember, FromControl, ToControl, ZoneOwner } from "./messages";
 
@@ -108,18 +109,20 @@
     }
 
     private receive(link: ControlLink, message: FromControl): void {
+        const { logger } = this.options.environment;
+        checkMessage(message);
         switch (message.type) {
             case "members":
                 this.membersReportedBy.add(link.address);
-                this.addAddresses(message.control);
-                this.options.onMembers(message.members);
+                this.addAddresses(selectAddresses(message.control, logger));
+                this.options.onMembers(selectMembers(message.members, logger));
                 return;
             case "owners":
-                this.owners.set(link.address, message.owners);
+                this.owners.set(link.address, selectOwners(message.owners, logger));
                 this.options.onOwners([...this.owners.values()].flat());
                 return;
             case "workers":
-                this.options.onWorkers(message.workers);
+                this.options.onWorkers(selectAnnouncements(message.workers, logger));
                 return;
             case "configuration-notice":
                 this.fetch.handleNotice(link.address, message.index);
--- a/packages/fleet/src/OwnerLinks.ts
+++ b/packages/fleet/src/OwnerLinks.ts
@@ -4,6 +4,7 @@
 import type { FreeCapacity, JobAnswer, RemoteScheduler } from "@anvilmux/dispatch";
 import { Link } from "@anvilmux/links";
 import type { ChannelChecker, LinkEnvironment } from "@anvilmux/links";
+import { checkMessage } from "./checkMessages";
 import type { EntryMember, FromPeer, ToPeer, ZoneOwner } from "./messages";
 
 export interface OwnerLinksOptions {
@@ -77,6 +78,7 @@
     }
 
     private receive(zone: string, message: FromPeer): void {
+        checkMessage(message);
         const remote = this.remotes.get(zone);
         if (message.type === "answer") {
             if (message.answer.kind === "refused" && remote) {
--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -9,6 +9,7 @@
 import type { Candidate, Fitness, FreeCapacity, WorkerAnnouncement } from "@anvilmux/dispatch";
 import { connectTimeoutMs, Link, LinkServer } from "@anvilmux/links";
 import type { ChannelChecker, LinkConnection, LinkEnvironment, OpenSocket, Session } from "@anvilmux/links";
+import { checkMessage, selectAnnouncements } from "./checkMessages";
 import type { EntryMember, PeerMessage } from "./messages";
 import { newZonePeer } from "./ZonePeer";
 import type { PeerConnection, ZonePeer } from "./ZonePeer";
@@ -271,13 +272,14 @@
         }
         return {
             onMessage: message => {
+                checkMessage(message);
                 switch (message.type) {
                     case "state":
                         peerId = message.member.id;
                         this.handleState(message, connection, openedPeerId === undefined);
                         return;
                     case "workers":
-                        this.options.onWorkers(message.workers);
+                        this.options.onWorkers(selectAnnouncements(message.workers, this.options.environment.logger));
                         return;
                     case "zone-owner":
                         connection.submitterKey = `${message.zone}/${message.id}#${connection.number}`;
