An odd row of a worker's list hides no other, and an odd answer nothing that follows

Seen: one row of null, of a string for a number or without a name, and the whole list was refused, so that no run of that worker ended and its lease was given up; a clock of 1e300 made every later list one that was overtaken and every later deadline one that the worker cannot read, which is answered with failed; an end numbered 1e300 hid the ends after it; an end of kind "constructor" ended the run with a function; a percent of 1e999 went on to the owner; four megabytes of brackets were parsed, 1.5 s in which no lease was extended; a refusal with an odd clock or body lost its reason. Cause: the list was read with one schema of numbers of any size; a body was parsed whatever its length; kinds were looked up in an object. A list of which a run, or an end where it is full, was left out is marked as incomplete, and no run ends because it is missing from it. Ruled out: to drop a row silently, as its run would be taken for gone and started a second time.

--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -50,7 +50,7 @@
             : "no-ends";
         this.acknowledgeCompletions(list);
         this.confirmRunning(list);
-        if (list.completions.length < maximumListedCompletions) {
+        if (list.completions.length < maximumListedCompletions && !list.isIncomplete) {
             this.endMissing(list, sentAt);
         }
         return result;
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -118,6 +118,8 @@
         readonly run: number;
         readonly how: RunResult;
     }[];
+    /** True when rows could not be read: a run that is not listed may be in progress. Earlier releases give none. */
+    readonly isIncomplete?: boolean;
 }
 
 export interface StartOrder {
