--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -55,7 +55,7 @@
             : "no-ends";
         this.acknowledgeCompletions(list);
         this.confirmRunning(list);
-        if (list.completions.length < maximumListedCompletions) {
+        if (list.completions.length < maximumListedCompletions && !list.isIncomplete) {
             this.endMissing(list, sentAt, isRestart);
         }
         this.addFoundRuns(list);
