--- a/packages/dispatch/tests/incompleteLists.test.ts
+++ b/packages/dispatch/tests/incompleteLists.test.ts
@@ -16,7 +16,7 @@
     const events: string[] = [];
     const runs = new RunTable(() => undefined);
     for (const task of [listed, unlisted, ended]) {
-        const run: Run = newRun({ task, run: 1, request: undefined, orderedAt: 0, startDeadline: 0 });
+        const run: Run = newRun({ task, run: 1, request: undefined, orderedAt: 0, startDeadline: 0, incarnation: 1 });
         run.state = "running";
         runs.add(run);
     }
@@ -26,7 +26,7 @@
         worker: toWorkerId("w"),
         runs,
         time: new WorkerTime(time),
-        onEnd: (run, outcome) => {
+        onEnd: (run, { outcome }) => {
             runs.remove(run);
             events.push(`${run.task} ${outcome}`);
         },
