Election: an owner that learns of a higher claim raises its own above it

Cause: an owner trusted the lists that it was given under its own claim, although another entry had claimed the workers with a higher one since and started tasks there; the lower owner starts the same job on a worker that the higher one did not reach. A refused token told it only when it called a worker that the other had reached. Change: entries submit jobs with the highest claim that they have seen; an owner with a lower one raises its claim above it, so that its workers list their runs anew and refuse the other. Messages of earlier releases carry none and change nothing. Ruled out: new lists for every job that had another owner (a poll of all workers for each, right after every change of owner).

--- a/bench/src/DispatchLoad.ts
+++ b/bench/src/DispatchLoad.ts
@@ -128,6 +128,7 @@
                 cancel: id => void link.send({ type: "cancel", id }),
                 withdraw: id => void link.send({ type: "withdraw", id }),
             }),
+            getHighestClaim: () => 0,
             clock,
             timers,
             logger,
--- a/bench/src/dispatchOwnerProcess.ts
+++ b/bench/src/dispatchOwnerProcess.ts
@@ -38,6 +38,7 @@
         getRemoteSchedulers: () => [],
         getFencingToken: () => fencingToken,
         onFenced: () => undefined,
+        onOutranked: () => undefined,
         clock,
         timers,
         logger,
--- a/bench/src/schedulerCost.ts
+++ b/bench/src/schedulerCost.ts
@@ -57,6 +57,7 @@
         getRemoteSchedulers: () => [],
         getFencingToken: () => 1,
         onFenced: () => undefined,
+        onOutranked: () => undefined,
         clock: time,
         timers: time,
         logger: newSilentLogger(),
--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -83,7 +83,14 @@
             getPeers: () => [],
             fetch: () => Promise.reject(new Error("an entry receives its configuration from control instances only")),
         });
-        this.pendingJobs = new PendingJobs({ getOwner: () => this.getOwner(), clock, timers, logger, metrics });
+        this.pendingJobs = new PendingJobs({
+            getOwner: () => this.getOwner(),
+            getHighestClaim: () => this.election.highestClaim,
+            clock,
+            timers,
+            logger,
+            metrics,
+        });
         this.election = new ZoneElection({
             selfId: this.self.id,
             selfNumber: hashText(`${this.self.id} ${this.self.incarnation}`),
@@ -110,6 +117,7 @@
             peers: this.peers,
             getFencingToken: () => this.election.claim,
             onFenced: fencingToken => this.election.handleFenced(fencingToken),
+            onOutranked: claim => this.election.handleOutranked(claim),
         });
         this.messages = new EntryMessages({
             getScheduler: () => this.scheduler,
--- a/packages/anvilmux/src/roles/WorkerOwnership.ts
+++ b/packages/anvilmux/src/roles/WorkerOwnership.ts
@@ -19,6 +19,8 @@
     readonly getFencingToken: () => number;
     /** Called when a worker refused `fencingToken` because it had accepted a higher one. */
     readonly onFenced: (fencingToken: number) => void;
+    /** Called when an entry has seen a higher claim than this one's. */
+    readonly onOutranked: (claim: number) => void;
     readonly environment: Environment;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -86,13 +88,14 @@
     }
 
     private newScheduler(): TaskScheduler {
-        const { environment, logger, metrics, getFencingToken, onFenced } = this.options;
+        const { environment, logger, metrics, getFencingToken, onFenced, onOutranked } = this.options;
         return new TaskScheduler({
             connect: this.relayedWorkers.connect,
             choose: chooseBestFit,
             getRemoteSchedulers: () => this.ownerLinks?.getRemoteSchedulers() ?? [],
             getFencingToken,
             onFenced,
+            onOutranked,
             clock: environment.clock,
             timers: environment.timers,
             logger,
--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -21,6 +21,8 @@
 
 export interface PendingJobsOptions {
     readonly getOwner: () => OwnerLink | undefined;
+    /** The highest claim on the zone's workers that this entry has seen. */
+    readonly getHighestClaim: () => number;
     readonly clock: Clock;
     readonly timers: Timers;
     readonly logger: Logger;
@@ -156,6 +158,7 @@
             ...job.request,
             resubmitted: job.owners.size > 0,
             hadOtherOwner: [...job.owners.keys()].some(id => id !== owner.id),
+            highestClaim: this.options.getHighestClaim(),
             mayRunElsewhere: job.mayRunElsewhere,
             objectiveMs: job.request.objectiveMs - elapsed,
             remainingMs: job.request.remainingMs - elapsed,
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -35,7 +35,11 @@
 
 export type TaskSchedulerOptions =
     & Omit<OwnedWorkersOptions, "onEnd" | "onCrash" | "onFound" | "onStandstill" | "onChange">
-    & TaskSpillerOptions;
+    & TaskSpillerOptions
+    & {
+        /** Called when an entry has seen a higher claim than this owner's; raises the claim above it. */
+        readonly onOutranked: (claim: number) => void;
+    };
 
 export class TaskScheduler {
     private readonly workers: OwnedWorkers;
@@ -113,6 +117,7 @@
             submitter.answer(ended);
             return;
         }
+        this.checkClaim(request);
         const present = this.jobs.get(request.id);
         const now = this.options.clock.now();
         if (present && hasSameTasks(present.request, request)) {
@@ -140,6 +145,13 @@
         this.rounds.schedule();
     }
 
+    /** An owner with a higher claim may have had the job, and workers may list runs that it started since. */
+    private checkClaim({ highestClaim = 0, spilled }: JobRequest): void {
+        if (!spilled && highestClaim > this.options.getFencingToken()) {
+            this.options.onOutranked(highestClaim);
+        }
+    }
+
     /** The answer to a job that cannot be done here; undefined when it may be. */
     private findPermanentObstacle(request: JobRequest): JobAnswer | undefined {
         const givenUp = request.tasks.find(task => this.suspects.isGivenUp(task.name));
--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -79,6 +79,11 @@
         return this.owner === this.options.selfId;
     }
 
+    /** The highest claim that this entry has seen, its own included. */
+    get highestClaim(): number {
+        return Math.max(this.highestSeenClaim, this.claimed);
+    }
+
     /** Re-evaluates ownership; called periodically and when the connected entries change. */
     update(): void {
         const candidates = this.options.getCandidates();
@@ -114,6 +119,17 @@
         this.fencedSince ??= this.options.clock.now();
     }
 
+    /**
+     * Another entry has seen a higher claim, whose owner may have started tasks: this entry's claim is raised above it, so
+     * that the workers list their runs again and refuse that owner.
+     */
+    handleOutranked(claim: number): void {
+        if (this.claimed > 0 && claim > this.claimed) {
+            this.highestSeenClaim = Math.max(this.highestSeenClaim, claim);
+            this.setClaim(this.newToken(), "another entry has seen a higher claim");
+        }
+    }
+
     private raiseClaimIfFenced(): void {
         if (this.fencedSince === undefined || this.options.clock.now() - this.fencedSince < fencedTimeoutMs) {
             return;
@@ -146,10 +162,14 @@
         if (!isPreferred || isTooEarly || this.options.isAwaitingEntries()) {
             return;
         }
-        const fromClock = Math.floor(clock.wallNow() / tokenPeriodMs) * tokensPerPeriod;
+        this.setClaim(this.newToken(), "no connected entry claims ownership");
+    }
+
+    /** A token above all that this entry has seen. */
+    private newToken(): number {
+        const fromClock = Math.floor(this.options.clock.wallNow() / tokenPeriodMs) * tokensPerPeriod;
         const base = Math.max(fromClock, this.highestSeenClaim + tokensPerPeriod);
-        const token = base - base % tokensPerPeriod + this.options.selfNumber % tokensPerPeriod;
-        this.setClaim(token, "no connected entry claims ownership");
+        return base - base % tokensPerPeriod + this.options.selfNumber % tokensPerPeriod;
     }
 
     /** Two entries that claim at about the same time can have equal tokens; the smaller id takes precedence. */
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -45,6 +45,8 @@
     readonly resubmitted: boolean;
     /** True when it was submitted to another owner, too, which may have started it; absent in earlier releases. */
     readonly hadOtherOwner?: boolean;
+    /** The highest claim on the zone's workers that its entry has seen; absent in earlier releases. */
+    readonly highestClaim?: number;
     /** True when a former owner forwarded tasks of it to another zone. */
     readonly mayRunElsewhere: boolean;
     /** True for tasks forwarded by the owner of another zone: started at once or refused, never forwarded again. */
--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -15,8 +15,10 @@
     readonly withdrawnAt: string[] = [];
     readonly answers = new Map<string, JobAnswer>();
     ownerId: string | undefined = "owner-1";
+    highestClaim = 0;
     readonly pendingJobs = new PendingJobs({
         getOwner: () => this.getOwner(),
+        getHighestClaim: () => this.highestClaim,
         clock: this.time,
         timers: this.time,
         logger: newSilentLogger(),
@@ -78,6 +80,15 @@
         expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
     });
 
+    test("a submission reports the highest claim that the entry has seen by then", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        fixture.highestClaim = 7;
+        fixture.ownerId = "owner-2";
+        fixture.pendingJobs.handleOwnerChange();
+        expect(fixture.submitted.map(request => request.highestClaim)).toEqual([0, 7]);
+    });
+
     test("a resubmission reports whether tasks may run in another zone", () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
--- a/packages/dispatch/tests/ZoneElection.test.ts
+++ b/packages/dispatch/tests/ZoneElection.test.ts
@@ -51,6 +51,16 @@
         expect(entry.claims.map(claim => claim["sinceReleaseMs"])).toEqual([undefined, 400]);
     });
 
+    test("an owner keeps a claim below the one that another entry has seen", async () => {
+        const entry = new Entry("a", new VirtualTime());
+        await entry.time.advance(1_000);
+        const { claim } = entry.election;
+        entry.election.handleOutranked(claim);
+        expect(entry.election.claim).toBe(claim);
+        entry.election.handleOutranked(claim + 7);
+        expect(entry.election.claim).toBeGreaterThan(claim + 7);
+    });
+
     test("the ready entry with the smallest id claims after others had time to join", async () => {
         const time = new VirtualTime();
         const first = new Entry("a", time);
--- a/packages/dispatch/tests/forwardedRuns.test.ts
+++ b/packages/dispatch/tests/forwardedRuns.test.ts
@@ -72,6 +72,7 @@
                 connect,
                 choose: chooseBestFit,
                 getFencingToken: () => 1,
+                onOutranked: () => undefined,
                 onFenced: () => undefined,
                 getRemoteSchedulers,
                 clock: time,
--- a/packages/dispatch/tests/runsOnTwoWorkers.test.ts
+++ b/packages/dispatch/tests/runsOnTwoWorkers.test.ts
@@ -135,7 +135,12 @@
         const fixture = new SchedulerFixture(2);
         const { time } = fixture;
         const calls = new OwnerCalls(fixture);
-        const lower = fixture.newScheduler(1);
+        let token = 1;
+        const lower = fixture.newScheduler(1, () => token);
+        fixture.handleOutranked = claim => {
+            token = claim + 1;
+            lower.handleTokenRaised();
+        };
         await time.advance(20);
         calls.cutWorkers.add("worker-2");
         const higher = fixture.newScheduler(2, () => 2, calls.connect);
@@ -147,7 +152,7 @@
         expect(fixture.workers[1]!.highestFencingToken).toBe(1);
         // The lower owner's view of the worker's room leaves it the other worker.
         hideRoom(lower, fixture.workers[0]!);
-        fixture.submit(lower, { ...request, resubmitted: true, hadOtherOwner: true });
+        fixture.submit(lower, { ...request, resubmitted: true, hadOtherOwner: true, highestClaim: 2 });
         await time.advance(300);
         expect(fixture.doubleRuns).toEqual([]);
     });
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -45,6 +45,8 @@
     /** Tasks under which their worker crashes soon after the start. */
     readonly crashingTasks = new Set<string>();
     readonly fencedTokens: number[] = [];
+    /** Called when a scheduler learns of a higher claim than its own. */
+    handleOutranked: (claim: number) => void = () => undefined;
     private readonly runningCounts = new Map<TaskName, number>();
     private readonly runTimes = new Map<string, Milliseconds>();
     private readonly sizes = new Map<string, number>();
@@ -74,6 +76,7 @@
             choose: chooseBestFit,
             getFencingToken,
             onFenced: token => this.fencedTokens.push(token),
+            onOutranked: claim => this.handleOutranked(claim),
             getRemoteSchedulers: () => this.remoteSchedulers,
             clock: this.time,
             timers: this.time,
--- a/packages/dispatch/tests/simulation/DispatchSimulation.ts
+++ b/packages/dispatch/tests/simulation/DispatchSimulation.ts
@@ -82,6 +82,7 @@
                 workers,
                 drawLatency: () => this.drawLatency(),
                 onFenced: (entry, token) => this.handleFenced(entry, token),
+                onOutranked: entry => this.claim(entry),
                 logger: this.newLogger(`${name}-${number + 1}`),
             }));
         return { name, entries };
--- a/packages/dispatch/tests/simulation/SimulatedEntry.ts
+++ b/packages/dispatch/tests/simulation/SimulatedEntry.ts
@@ -24,6 +24,8 @@
     readonly getKnownWorkers?: () => readonly WorkerAnnouncement[];
     readonly drawLatency: () => Milliseconds;
     readonly onFenced: (entry: SimulatedEntry, token: number) => void;
+    /** Claims the workers anew with a token above all others. */
+    readonly onOutranked: (entry: SimulatedEntry) => void;
     readonly logger: Logger;
 }
 
@@ -37,6 +39,7 @@
 
 export class SimulatedEntry {
     claim = 0;
+    private highestClaim = 0;
     stalledUntil: Milliseconds = 0;
     scheduler: TaskScheduler | undefined;
     readonly pendingJobs: PendingJobs;
@@ -49,6 +52,7 @@
         const { time, logger, timers = time } = options;
         this.pendingJobs = new PendingJobs({
             getOwner: () => this.getOwnerLink(),
+            getHighestClaim: () => this.highestClaim,
             clock: time,
             timers,
             logger,
@@ -67,6 +71,7 @@
     /** Claims the zone's workers with a token, or raises the token of the present claim. */
     claimWorkers(token: number): void {
         this.claim = token;
+        this.highestClaim = Math.max(this.highestClaim, token);
         if (this.scheduler) {
             this.scheduler.handleTokenRaised();
         }
@@ -88,6 +93,7 @@
     }
 
     setOwner(owner: SimulatedEntry | undefined): void {
+        this.highestClaim = Math.max(this.highestClaim, owner?.claim ?? 0);
         if (this.owner !== owner) {
             this.options.logger.debug("owner changed", { owner: owner?.id });
             this.owner = owner;
@@ -241,6 +247,7 @@
             choose: chooseBestFit,
             getFencingToken: () => this.claim,
             onFenced: token => this.options.onFenced(this, token),
+            onOutranked: () => this.options.onOutranked(this),
             getRemoteSchedulers: () => this.getRemoteSchedulers(),
             clock: time,
             timers,
--- a/packages/dispatch/tests/simulation/WorkerSimulation.ts
+++ b/packages/dispatch/tests/simulation/WorkerSimulation.ts
@@ -162,6 +162,7 @@
             getKnownWorkers: () => this.getKnownWorkers(unknownWorkers),
             drawLatency,
             onFenced: (fenced, token) => this.handleFenced(fenced, token),
+            onOutranked: outranked => this.claimNow(this.nodes.find(one => one.entry === outranked)!, 1),
             logger,
         });
         return { entry, timers, station, unknownWorkers, highestToken: 0 };
@@ -235,16 +236,18 @@
 
     /** Claims the workers; the other entries hear of it within `longestNoticeMs`. */
     private claim(node: EntryNode, longestNoticeMs: Milliseconds): void {
-        node.timers.after(0, () => {
-            this.highestToken += 1;
-            const token = this.highestToken;
-            node.highestToken = token;
-            node.entry.claimWorkers(token);
-            this.trace(node.entry.id, "claimed the workers", { token });
-            this.nodes.filter(other => other !== node).forEach(other =>
-                other.timers.after(this.random.integer(longestNoticeMs), () => this.handleClaim(other, node, token))
-            );
-        });
+        node.timers.after(0, () => this.claimNow(node, longestNoticeMs));
+    }
+
+    private claimNow(node: EntryNode, longestNoticeMs: Milliseconds): void {
+        this.highestToken += 1;
+        const token = this.highestToken;
+        node.highestToken = token;
+        node.entry.claimWorkers(token);
+        this.trace(node.entry.id, "claimed the workers", { token });
+        this.nodes.filter(other => other !== node).forEach(other =>
+            other.timers.after(this.random.integer(longestNoticeMs), () => this.handleClaim(other, node, token))
+        );
     }
 
     private handleClaim(node: EntryNode, owner: EntryNode, token: number): void {
--- a/packages/fleet/src/checkMessages.ts
+++ b/packages/fleet/src/checkMessages.ts
@@ -77,6 +77,7 @@
     remainingMs: finite,
     resubmitted: flag,
     hadOtherOwner: optional(flag),
+    highestClaim: optional(whole),
     mayRunElsewhere: flag,
     spilled: flag,
 });
