Dispatch: a start that was given up is withdrawn at its worker

Cause: a start without an answer counts as never carried out once its deadline is over, or the lease of a silent worker; from then on only clocks kept the worker from carrying it out, and those of its next incarnation, or of a call whose time counts from its arrival, do not. Change: its stop is ordered when it is given up, and again until the worker's present incarnation has accepted it, for 15 s. A worker that accepted a stop refuses the start. The task does not wait for that, so nothing is served later. Ruled out: ending such a run only by an accepted stop (delays every start without an answer by one exchange, or by seconds).

--- a/packages/dispatch/src/RunStopper.ts
+++ b/packages/dispatch/src/RunStopper.ts
@@ -1,9 +1,10 @@
 /**
  * Stops runs on one worker. A stop is repeated until the run has ended. A worker that accepted one refuses a start of that
- * run that arrives later, so a stop also settles a start without an answer.
+ * run that arrives later, so a stop also settles a start without an answer, and withdraws one that was given up.
  */
 
-import { stopRepeatMs } from "./constants";
+import type { Milliseconds } from "@anvilmux/common";
+import { longestOrderDelayMs, stopRepeatMs } from "./constants";
 import type { Run, RunTable } from "./RunTable";
 import type { WorkerSessionOptions } from "./workerSessionOptions";
 
@@ -16,7 +17,18 @@
     readonly onUncertainStopped: () => void;
 }
 
+/** A start without an answer that counts as never carried out. */
+interface GivenUpStart {
+    readonly run: Run;
+    readonly until: Milliseconds;
+    orderedAt: Milliseconds;
+    /** Incarnation that accepted its stop; each one has to. */
+    acceptedIn: number | undefined;
+}
+
 export class RunStopper {
+    private givenUp: readonly GivenUpStart[] = [];
+
     constructor(private readonly options: RunStopperOptions) {}
 
     /** Orders a stop unless one is under way. */
@@ -34,9 +46,24 @@
         this.options.runs.getUncertainOfOtherIncarnations(this.options.getIncarnation()).forEach(run => this.stop(run));
     }
 
-    /** Orders the stops again that were not carried out. */
+    /** Withdraws a start that was given up: should it be carried out late after all, the worker refuses it. */
+    withdraw(run: Run): void {
+        const until = this.options.clock.now() + longestOrderDelayMs;
+        const start: GivenUpStart = { run, until, orderedAt: 0, acceptedIn: undefined };
+        this.givenUp = [...this.givenUp, start];
+        void this.orderWithdrawal(start);
+    }
+
+    /** Orders the stops again that were not carried out; to be called when the worker has answered. */
     repeat(): void {
         const now = this.options.clock.now();
+        if (this.givenUp.length > 0) {
+            this.givenUp = this.givenUp.filter(({ until }) => now < until);
+            this.givenUp
+                .filter(start => start.acceptedIn !== this.options.getIncarnation())
+                .filter(({ orderedAt }) => now - orderedAt > stopRepeatMs)
+                .forEach(start => void this.orderWithdrawal(start));
+        }
         for (const run of this.options.runs.getAll()) {
             if (run.stopOrderedAt !== undefined && now - run.stopOrderedAt > stopRepeatMs) {
                 void this.order(run);
@@ -45,17 +72,27 @@
     }
 
     private async order(run: Run): Promise<void> {
-        const { clock, driver, getFencingToken, getIncarnation, metrics } = this.options;
-        run.stopOrderedAt = clock.now();
-        metrics.count("anvilmux_stop_orders_total");
-        const incarnation = getIncarnation();
-        const isAccepted = await driver.stop(run.task, run.run, getFencingToken());
-        if (!isAccepted || incarnation !== getIncarnation()) {
+        run.stopOrderedAt = this.options.clock.now();
+        if (await this.callStop(run) === undefined) {
             return;
         }
-        run.stopAcceptedAt ??= clock.now();
+        run.stopAcceptedAt ??= this.options.clock.now();
         if (run.state === "uncertain") {
             this.options.onUncertainStopped();
         }
     }
+
+    private async orderWithdrawal(start: GivenUpStart): Promise<void> {
+        start.orderedAt = this.options.clock.now();
+        start.acceptedIn = await this.callStop(start.run) ?? start.acceptedIn;
+    }
+
+    /** The incarnation that accepted the stop; undefined when none did, or when the worker restarted meanwhile. */
+    private async callStop({ task, run }: Run): Promise<number | undefined> {
+        const { driver, getFencingToken, getIncarnation, metrics } = this.options;
+        metrics.count("anvilmux_stop_orders_total");
+        const incarnation = getIncarnation();
+        const isAccepted = await driver.stop(task, run, getFencingToken());
+        return isAccepted && incarnation === getIncarnation() ? incarnation : undefined;
+    }
 }
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -390,6 +390,10 @@
 
     private end(run: Run, end: RunEnd): void {
         this.runs.remove(run);
+        const isGivenUp = run.state === "uncertain" && end.cause !== "listed" && run.stopAcceptedAt === undefined;
+        if (isGivenUp && !this.closed) {
+            this.stopper.withdraw(run);
+        }
         this.options.onEnd(run, end);
     }
 }
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -46,6 +46,8 @@
 export const longestRetryPauseMs = 2_000;
 /** Time after which a stop that was not carried out is ordered again. */
 export const stopRepeatMs = 250;
+/** Longest time after which a worker may carry out an order that it did not answer. */
+export const longestOrderDelayMs = 15_000;
 /** Maximum number of completions that a worker lists at once. */
 export const maximumListedCompletions = 500;
 /** Maximum number of lost runs that a log line names. */
