A task given up beside other crashes is answered as unknown, not as failed

Cause, by reading and test: two crashes of workers under a task gave it up as failed, whatever else crashed at the time; a connection that a cut refuses is taken for a crash. Change: a crash is evidence against a task only if no worker without the task crashed within 3 s of it. A task is still not started after its second crash (containment as before), but its job has failed only if both are evidence; otherwise its outcome is unknown, and the caller may send it again.

--- a/packages/dispatch/src/RecentMap.ts
+++ b/packages/dispatch/src/RecentMap.ts
@@ -21,6 +21,10 @@
         return this.entries.get(key)?.value;
     }
 
+    getValues(): readonly Value[] {
+        return [...this.entries.values()].map(({ value }) => value);
+    }
+
     set(key: Key, value: Value): void {
         const now = this.clock.now();
         this.entries.delete(key);
--- a/packages/dispatch/src/RunCompletionHandler.ts
+++ b/packages/dispatch/src/RunCompletionHandler.ts
@@ -1,6 +1,5 @@
 /** Handles the end of a run: its task is done, its task is queued again, or its job ends. */
 
-import { crashesToGiveUp } from "./constants";
 import type { CrashSuspects } from "./CrashSuspects";
 import type { OwnedWorkers } from "./OwnedWorkers";
 import { runsSkippedAfterOld } from "./runNumbers";
@@ -8,7 +7,6 @@
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
 import { logCrash, logUnsuccessfulRun } from "./schedulerLog";
 import type { SchedulerLogContext } from "./schedulerLog";
-import type { JobAnswer, TaskName } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 
 export class RunCompletionHandler {
@@ -40,11 +38,7 @@
                 this.events.onFinish(job, { kind: "failed", reason: `the worker cannot read task ${run.task}` });
                 return;
             case "crashed":
-                if (this.suspects.isGivenUp(run.task)) {
-                    this.events.onFinish(job, newGivenUpAnswer(run.task));
-                    return;
-                }
-                this.events.onRequeue(job, task);
+                this.handleCrashedRun(job, task);
                 return;
             case "stopped":
             case "never-started":
@@ -66,6 +60,15 @@
         logCrash(this.context, session, runs);
     }
 
+    private handleCrashedRun(job: ScheduledJob, task: ScheduledTask): void {
+        const answer = this.suspects.findAnswer([task.request]);
+        if (answer) {
+            this.events.onFinish(job, answer);
+            return;
+        }
+        this.events.onRequeue(job, task);
+    }
+
     private handleFailure(job: ScheduledJob, task: ScheduledTask, session: WorkerSession): void {
         this.workers.recordFailure(session);
         task.failures += 1;
@@ -80,8 +83,3 @@
         this.events.onRequeue(job, task);
     }
 }
-
-export const newGivenUpAnswer = (task: TaskName): JobAnswer => ({
-    kind: "failed",
-    reason: `${crashesToGiveUp} workers crashed while they ran task ${task}`,
-});
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -13,7 +13,7 @@
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
 import { PlacementRounds } from "./PlacementRounds";
 import { RecentMap } from "./RecentMap";
-import { newGivenUpAnswer, RunCompletionHandler } from "./RunCompletionHandler";
+import { RunCompletionHandler } from "./RunCompletionHandler";
 import type { Run, RunOutcome } from "./RunTable";
 import { applyResubmission, getUncertaintyEnd, markPlaced, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
@@ -131,9 +131,9 @@
 
     /** The answer to a job that cannot be done here; undefined when it may be. */
     private findPermanentObstacle(request: JobRequest): JobAnswer | undefined {
-        const givenUp = request.tasks.find(task => this.suspects.isGivenUp(task.name));
-        if (givenUp) {
-            return newGivenUpAnswer(givenUp.name);
+        const answer = this.suspects.findAnswer(request.tasks);
+        if (answer) {
+            return answer;
         }
         const reason = this.workers.findPermanentObstacle(request);
         return reason === undefined ? undefined : { kind: "failed", reason };
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -64,6 +64,8 @@
 export const maximumEndedJobs = 20_000;
 /** Workers that crash under a task before it is given up. */
 export const crashesToGiveUp = 2;
+/** Crashes within this time of each other may have the same cause; an owner learns of some a lease later than of others. */
+export const crashCoincidenceMs = 3_000;
 /** Time for which a task is suspected after a worker crashed under it; longer than callers take to submit a job again. */
 export const suspicionRetentionMs = 60_000;
 export const maximumSuspects = 10_000;
--- a/stand-ins/src/LeasedWorker.ts
+++ b/stand-ins/src/LeasedWorker.ts
@@ -58,6 +58,8 @@
 export class LeasedWorker {
     /** Calls are neither answered nor carried out, as in a network partition. */
     isUnreachable = false;
+    /** Connections are refused although the worker runs, as by a firewall. */
+    refusesCalls = false;
     /** Start orders go unanswered and are carried out after this delay; 0 carries them out and answers at once. */
     orderDelayMs: Milliseconds = 0;
     /** Network latency of answers to watches; answers on other connections may overtake them. */
@@ -126,14 +128,18 @@
     connect(): WorkerDriver {
         return {
             start: async order => await this.refuseWhileDown() ?? await this.start(order),
-            stop: async (task, run, fencingToken) => !this.isDown && await this.stop(task, run, fencingToken),
+            stop: async (task, run, fencingToken) => !this.isRefusing && await this.stop(task, run, fencingToken),
             watch: async order => await this.refuseWhileDown() ?? await this.watch(order),
             close: () => undefined,
         };
     }
 
+    private get isRefusing(): boolean {
+        return this.isDown || this.refusesCalls;
+    }
+
     private async refuseWhileDown() {
-        if (!this.isDown) {
+        if (!this.isRefusing) {
             return undefined;
         }
         await this.wait(exchangeLatencyMs);
@@ -249,8 +255,8 @@
         if (this.listLatencyMs > 0) {
             await this.wait(this.listLatencyMs);
         }
-        if (this.isUnreachable || this.isDown) {
-            return { kind: "unanswered", reason: this.isDown ? "connection closed" : "no answer in time" };
+        if (this.isUnreachable || this.isRefusing) {
+            return { kind: "unanswered", reason: this.isRefusing ? "connection closed" : "no answer in time" };
         }
         return { kind: "listed", list };
     }
