Dispatch: a start whose call is still open is withdrawn, too, when its run is given up

Cause: only starts without an answer were withdrawn; a call through a slow relay may be open when the lease of its worker counts as expired.

--- a/packages/dispatch/src/RunTable.ts
+++ b/packages/dispatch/src/RunTable.ts
@@ -37,6 +37,16 @@
     readonly relay?: string | undefined;
 }
 
+const inferredCauses: ReadonlySet<RunEndCause> = new Set<RunEndCause>([
+    "missing-from-list",
+    "new-incarnation",
+    "lease-expired",
+    "process-down",
+]);
+
+/** True for an end that the worker neither listed nor answered, so that a start without an answer may be carried out yet. */
+export const isInferred = ({ cause }: RunEnd): boolean => inferredCauses.has(cause);
+
 export interface Run {
     readonly task: TaskName;
     readonly run: number;
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -21,7 +21,7 @@
 } from "./constants";
 import { ListReader } from "./ListReader";
 import { RunStopper } from "./RunStopper";
-import { newRun, RunTable } from "./RunTable";
+import { isInferred, newRun, RunTable } from "./RunTable";
 import type { Run, RunEnd, RunEndCause, RunOutcome } from "./RunTable";
 import { logUnassignedRun } from "./schedulerLog";
 import { fits, getLargerResources, subtractResources } from "./types";
@@ -390,8 +390,8 @@
 
     private end(run: Run, end: RunEnd): void {
         this.runs.remove(run);
-        const isGivenUp = run.state === "uncertain" && end.cause !== "listed" && run.stopAcceptedAt === undefined;
-        if (isGivenUp && !this.closed) {
+        const mayStart = run.state !== "running" && isInferred(end) && run.stopAcceptedAt === undefined;
+        if (mayStart && !this.closed) {
             this.stopper.withdraw(run);
         }
         this.options.onEnd(run, end);
