--- a/packages/fleet/tests/ControlHub.test.ts
+++ b/packages/fleet/tests/ControlHub.test.ts
@@ -46,6 +46,8 @@
     owners: readonly ZoneOwner[] = [];
     readonly workers: WorkerAnnouncement[] = [];
     readonly configurations: string[] = [];
+    /** Number of workers that the entry knew when it received its first configuration. */
+    workersAtConfiguration: number | undefined;
     configurationIndex = 0;
     claim = 0;
     isUrgent = false;
@@ -75,6 +77,7 @@
             onWorkers: workers => this.workers.push(...workers),
             onConfiguration: (index, envelope) => {
                 this.configurationIndex = index;
+                this.workersAtConfiguration ??= this.workers.length;
                 this.configurations.push(envelope);
             },
         });
@@ -115,6 +118,14 @@
         await waitUntil(() => first.members.length === 1);
     }, 30_000);
 
+    test("an entry knows the workers of its zone before it has a configuration", async () => {
+        const { hub, port } = await startHub();
+        hub.handleWorkerAnnouncement(newWorker("z1"));
+        const entry = new EntryFixture("a", "z1", [toLoopback(port)]);
+        await waitUntil(() => entry.configurations.length > 0);
+        expect(entry.workersAtConfiguration).toBe(1);
+    }, 30_000);
+
     test("entries that connect at the same time are announced to the others together", async () => {
         const { port } = await startHub();
         const first = new EntryFixture("a", "z1", [toLoopback(port)]);
