--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -14,6 +14,7 @@
     takeoverUncertaintyMs,
 } from "./constants";
 import { CrashSuspects } from "./CrashSuspects";
+import { FoundRuns } from "./FoundRuns";
 import { JobTable } from "./JobTable";
 import { cannotMeetDeadline, mayHaveUnseenRuns, mayWorkersHaveUnseenRuns, newAbortAnswer } from "./jobTimeouts";
 import { LiveRuns } from "./LiveRuns";
@@ -23,9 +24,9 @@
 import { RecentMap } from "./RecentMap";
 import { RunCompletionHandler } from "./RunCompletionHandler";
 import type { Run, RunEnd } from "./RunTable";
-import { applyResubmission, markPlaced, newScheduledJob } from "./ScheduledJob";
+import { applyResubmission, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logAbortedJob, logClosedJob, logSecondRun, logStalledRun, logUnassignedRun } from "./schedulerLog";
+import { logAbortedJob, logClosedJob, logStalledRun, logUnassignedRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
 import { TaskPlacer } from "./TaskPlacer";
 import { TaskSpiller } from "./TaskSpiller";
@@ -45,6 +46,7 @@
     private readonly workers: OwnedWorkers;
     private readonly liveRuns = new LiveRuns();
     private readonly jobs = new JobTable();
+    private readonly foundRuns: FoundRuns;
     /** Answers of ended jobs, for callers that resubmit a job because its answer was lost. */
     private readonly endedJobs: RecentMap<JobId, JobAnswer>;
     /** Jobs answered as unknown while they had tasks in a zone out of reach, and until when these may run there. */
@@ -64,6 +66,7 @@
         this.endedJobs = new RecentMap(options.clock, endedJobRetentionMs, maximumEndedJobs);
         this.outOfReach = new RecentMap(options.clock, takeoverUncertaintyMs, maximumEndedJobs);
         this.suspects = new CrashSuspects(options.clock);
+        this.foundRuns = new FoundRuns(options, this.jobs, this.liveRuns);
         const events: TaskEvents = {
             onDone: (job, task) => this.markTaskDone(job, task),
             onRequeue: (job, task) => this.requeueTask(job, task),
@@ -78,7 +81,7 @@
             },
             onEnd: (session, run, end) => this.handleRunCompletion(session, run, end),
             onCrash: (session, runs) => this.completionHandler.handleCrash(session, runs),
-            onFound: (session, run) => this.handleFoundRun(session, run),
+            onFound: (session, run) => this.foundRuns.handle(session, run),
             onStandstill: (session, run, percent) => this.handleStalledRun(session, run, percent),
             onChange: () => this.rounds.schedule(),
         });
@@ -140,7 +143,7 @@
             return;
         }
         this.jobs.add(job);
-        job.tasks.forEach(task => this.adopt(job, task));
+        job.tasks.forEach(task => this.foundRuns.adopt(job, task));
         this.jobs.prune(job);
         this.rounds.schedule();
     }
@@ -262,44 +265,6 @@
         this.workers.close();
     }
 
-    /** Assigns a run that is already in progress to its task. */
-    private adopt(job: ScheduledJob, task: ScheduledTask): void {
-        const session = this.liveRuns.get(task.request.name).find(worker =>
-            isGoingOn(worker.getRun(task.request.name))
-        );
-        const run = session?.getRun(task.request.name);
-        if (!session || !run || task.state !== "waiting") {
-            return;
-        }
-        session.setRequest(run, task.request);
-        markPlaced(job, task, session, run.run, run.orderedAt);
-        this.options.logger.info("run adopted", { job: job.request.id, task: run.task, run: run.run });
-    }
-
-    private handleFoundRun(session: WorkerSession, run: Run): void {
-        const other = this.liveRuns.get(run.task).find(worker =>
-            worker !== session && isGoingOn(worker.getRun(run.task))
-        );
-        this.liveRuns.add(run.task, session);
-        if (other) {
-            logSecondRun(this.options, session, run, other);
-            session.stop(run.task);
-            return;
-        }
-        const owner = this.jobs.findTask(run.task);
-        if (owner) {
-            this.adopt(owner.job, owner.task);
-            this.jobs.prune(owner.job);
-            return;
-        }
-        this.options.timers.after(orphanGraceMs, () => {
-            if (!this.jobs.findTask(run.task) && session.getRun(run.task) === run) {
-                this.options.logger.info("stop ordered for a run without a job", { task: run.task, run: run.run });
-                session.stop(run.task);
-            }
-        });
-    }
-
     /** Stops a stalled run, so that its task can run on another worker. */
     private handleStalledRun(session: WorkerSession, run: Run, percent: number): void {
         logStalledRun(this.options, session, run, percent);
@@ -386,6 +351,3 @@
             || (!job.request.spilled && mayHaveUnseenRuns(job, this.rounds.getView()));
     }
 }
-
-/** True for a run that is not being stopped. */
-const isGoingOn = (run: Run | undefined): boolean => run !== undefined && run.stopOrderedAt === undefined;
