Dispatch: an owner that did not run for seconds starts nothing before its workers have listed their runs again

Cause: an owner that did not run for longer than its successor waits goes on with its jobs when it wakes, by timers that are due before any message is read; a worker that the successor did not reach does not refuse it. Change: each look at the queue confirms that the process ran; after a pause of 1.5 s the lists are read again, as after a raised token.

--- /dev/null
+++ b/packages/dispatch/src/OwnershipPeriod.ts
@@ -0,0 +1,34 @@
+/**
+ * The time since when only this owner can have started runs on its workers. Runs from before are known only from the
+ * workers' lists.
+ */
+
+import type { Clock, Milliseconds } from "@anvilmux/common";
+import { ownershipDoubtMs } from "./constants";
+
+export class OwnershipPeriod {
+    private begunAt: Milliseconds;
+    private confirmedAt: Milliseconds;
+
+    /** `onInterrupted` is called when this process did not run for so long that another owner may have taken its place. */
+    constructor(private readonly clock: Clock, private readonly onInterrupted: (pausedMs: Milliseconds) => void) {
+        this.begunAt = clock.now();
+        this.confirmedAt = this.begunAt;
+    }
+
+    /** Begins anew, as another owner may have started runs until now. */
+    begin(): void {
+        this.begunAt = this.clock.now();
+    }
+
+    /** Its beginning; to be called at short intervals, as a longer one shows that the process did not run. */
+    confirm(): Milliseconds {
+        const now = this.clock.now();
+        const pausedMs = now - this.confirmedAt;
+        this.confirmedAt = now;
+        if (pausedMs > ownershipDoubtMs) {
+            this.onInterrupted(pausedMs);
+        }
+        return this.begunAt;
+    }
+}
--- a/packages/dispatch/src/PlacementRounds.ts
+++ b/packages/dispatch/src/PlacementRounds.ts
@@ -19,8 +19,8 @@
     readonly workers: OwnedWorkers;
     readonly placer: TaskPlacer;
     readonly spiller: TaskSpiller;
-    /** When the current fencing token was obtained. */
-    readonly getOwnsSince: () => Milliseconds;
+    /** Returns the time since when only this owner can have started runs. */
+    readonly confirmOwnership: () => Milliseconds;
     /** False while no tasks may be forwarded to other zones. */
     readonly maySpill: () => boolean;
     /** Called for a job of another zone that could not be started at once. */
@@ -78,7 +78,7 @@
         let areAllListed: boolean | undefined;
         return {
             now: this.options.clock.now(),
-            ownsSince: this.options.getOwnsSince(),
+            ownsSince: this.options.confirmOwnership(),
             areAllListed: () => areAllListed ??= this.options.workers.areAllListed(),
         };
     }
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -20,13 +20,14 @@
 import { LiveRuns } from "./LiveRuns";
 import { OwnedWorkers } from "./OwnedWorkers";
 import type { OwnedWorkersOptions } from "./OwnedWorkers";
+import { OwnershipPeriod } from "./OwnershipPeriod";
 import { PlacementRounds } from "./PlacementRounds";
 import { RecentMap } from "./RecentMap";
 import { RunCompletionHandler } from "./RunCompletionHandler";
 import type { Run, RunEnd } from "./RunTable";
 import { applyResubmission, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logAbortedJob, logClosedJob, logStalledRun, logUnassignedRun } from "./schedulerLog";
+import { logAbortedJob, logClosedJob, logInterruption, logStalledRun, logUnassignedRun } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
 import { TaskPlacer } from "./TaskPlacer";
 import { TaskSpiller } from "./TaskSpiller";
@@ -57,12 +58,14 @@
     private readonly placer: TaskPlacer;
     private readonly rounds: PlacementRounds;
     private transferring = false;
-    /** When the current fencing token was obtained; runs started before are known only from workers' lists. */
-    private ownsSince: Milliseconds;
+    private readonly ownership: OwnershipPeriod;
     private readonly unsubscribe: Unsubscribe;
 
     constructor(private readonly options: TaskSchedulerOptions) {
-        this.ownsSince = options.clock.now();
+        this.ownership = new OwnershipPeriod(options.clock, pausedMs => {
+            logInterruption(options, pausedMs);
+            this.handleTokenRaised();
+        });
         this.endedJobs = new RecentMap(options.clock, endedJobRetentionMs, maximumEndedJobs);
         this.outOfReach = new RecentMap(options.clock, takeoverUncertaintyMs, maximumEndedJobs);
         this.suspects = new CrashSuspects(options.clock);
@@ -93,7 +96,7 @@
             workers: this.workers,
             placer: this.placer,
             spiller: this.spiller,
-            getOwnsSince: () => this.ownsSince,
+            confirmOwnership: () => this.ownership.confirm(),
             maySpill: () => !this.transferring,
             onUnplaced: job => this.abortJob(job),
         });
@@ -237,7 +240,7 @@
 
     /** The fencing token was raised because a worker accepted a higher one; another owner may have started tasks. */
     handleTokenRaised(): void {
-        this.ownsSince = this.options.clock.now();
+        this.ownership.begin();
         this.workers.invalidateLists();
     }
 
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -57,6 +57,8 @@
 export const orphanGraceMs = 400;
 /** Time that runs on an unreachable worker may continue after a change of owner: the old one's timeout and lease. */
 export const takeoverUncertaintyMs = 1_900;
+/** After a pause of the owner's process of this length another owner may have started the jobs that it has. */
+export const ownershipDoubtMs = 1_500;
 /** Time after which tasks forwarded by another zone are stopped once its owner is disconnected. */
 export const spilledGraceMs = 50;
 /** Maximum number of workers of a service whose free capacity is reported to other zones. */
--- a/packages/dispatch/src/jobTimeouts.ts
+++ b/packages/dispatch/src/jobTimeouts.ts
@@ -8,7 +8,7 @@
 /** State of the scheduler on which these decisions depend. */
 export interface SchedulerView {
     readonly now: Milliseconds;
-    /** When the current fencing token was obtained; runs started before are known only from workers' lists. */
+    /** Since when only this owner can have started runs; those from before are known only from workers' lists. */
     readonly ownsSince: Milliseconds;
     /** True once every worker has listed its runs. */
     readonly areAllListed: () => boolean;
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -96,6 +96,9 @@
     });
 };
 
+export const logInterruption = ({ logger }: SchedulerLogContext, pausedMs: number): void =>
+    logger.warn("owner did not run; its workers list their runs again", { pausedMs: Math.round(pausedMs) });
+
 export const logSecondRun = (
     { metrics, logger }: SchedulerLogContext,
     session: WorkerSession,
--- a/packages/dispatch/tests/runsOnTwoWorkers.test.ts
+++ b/packages/dispatch/tests/runsOnTwoWorkers.test.ts
@@ -6,6 +6,7 @@
 import type { ConnectWorker, TaskScheduler } from "@anvilmux/dispatch";
 import type { LeasedWorker } from "@anvilmux/stand-ins";
 import { SchedulerFixture } from "./schedulerFixture";
+import { StallingTimers } from "./simulation/StallingTimers";
 
 /** Calls of one owner, of which some go unanswered. */
 class OwnerCalls {
@@ -186,6 +187,30 @@
         expect(fixture.doubleRuns).toEqual([]);
     });
 
+    test("when an owner that did not run for seconds starts the jobs that it had, which another owner has by now", async () => {
+        const fixture = new SchedulerFixture(2);
+        const { time } = fixture;
+        const timers = new StallingTimers(time);
+        const former = fixture.newScheduler(1, () => 1, fixture.connect, { timers });
+        const [worker, other] = fixture.workers as [LeasedWorker, LeasedWorker];
+        hideRoom(former, worker);
+        hideRoom(former, other);
+        await time.advance(20);
+        const request = fixture.newJob("a", { runMs: 900, objectiveMs: 9_000, remainingMs: 9_000 });
+        fixture.submit(former, request);
+        timers.stalledUntil = time.now() + takeoverUncertaintyMs + 800;
+        await time.advance(600);
+        const calls = new OwnerCalls(fixture);
+        calls.cutWorkers.add("worker-1");
+        const next = fixture.newScheduler(2, () => 2, calls.connect);
+        fixture.submit(next, { ...request, resubmitted: true, hadOtherOwner: true });
+        await time.advance(takeoverUncertaintyMs + 100);
+        expect(other.runningCount).toBe(1);
+        showRoom(former, worker);
+        await time.advance(800);
+        expect(fixture.doubleRuns).toEqual([]);
+    });
+
     test("when a start that was given up reaches the next life of its worker, whose clock began anew", async () => {
         const fixture = new SchedulerFixture(2, 480_000);
         const { time } = fixture;
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -66,10 +66,7 @@
         fencingToken: number,
         getFencingToken: () => number = () => fencingToken,
         connect: ConnectWorker = this.connect,
-        telemetry: Pick<TaskSchedulerOptions, "logger" | "metrics"> = {
-            logger: newSilentLogger(),
-            metrics: new Metrics(),
-        },
+        overrides: Partial<Pick<TaskSchedulerOptions, "logger" | "metrics" | "timers">> = {},
     ): TaskScheduler {
         const scheduler = new TaskScheduler({
             connect,
@@ -80,7 +77,9 @@
             getRemoteSchedulers: () => this.remoteSchedulers,
             clock: this.time,
             timers: this.time,
-            ...telemetry,
+            logger: newSilentLogger(),
+            metrics: new Metrics(),
+            ...overrides,
         });
         this.workers.forEach(worker => scheduler.setWorker(worker.announcement));
         return scheduler;
