Dispatch: an owner that a worker refused for a higher token starts nothing until it has raised its own

What callers would see: TWICE (found by review). Cause: only forwarding to other zones stopped at a refused token; on workers that do not know the higher token, as one that has restarted, the refused owner went on starting tasks that the other owner has.

--- a/packages/dispatch/src/PlacementRounds.ts
+++ b/packages/dispatch/src/PlacementRounds.ts
@@ -85,7 +85,7 @@
 
     /** Places the waiting tasks of a job; true when all of them were placed. */
     private placeTasks(job: ScheduledJob, view: SchedulerView): boolean {
-        if (mayHaveUnseenRuns(job, view)) {
+        if (this.options.spiller.isFenced || mayHaveUnseenRuns(job, view)) {
             return false;
         }
         for (const task of job.tasks) {
--- a/packages/dispatch/src/TaskSpiller.ts
+++ b/packages/dispatch/src/TaskSpiller.ts
@@ -23,17 +23,22 @@
 
     constructor(private readonly options: TaskSpillerOptions, private readonly events: TaskEvents) {}
 
-    /**
-     * A worker refused this owner's token for a higher one: nothing is forwarded until it raises its token. Another
-     * owner may have the same jobs, and workers of other zones do not know this zone's tokens.
-     */
+    /** A worker refused this owner's token for a higher one. */
     handleFenced(fencingToken: number): void {
         this.refusedToken = Math.max(this.refusedToken, fencingToken);
     }
 
+    /**
+     * True from a refusal until the token is raised: another owner may have the same jobs, and workers that do not know
+     * its token, those of other zones among them, would start what this owner orders.
+     */
+    get isFenced(): boolean {
+        return this.refusedToken === this.options.getFencingToken();
+    }
+
     /** Forwards as many waiting tasks as other zones have capacity for, once the submitter acknowledged that. */
     spill(job: ScheduledJob, waiting: readonly ScheduledTask[]): void {
-        if (this.refusedToken === this.options.getFencingToken()) {
+        if (this.isFenced) {
             return;
         }
         const remotes = this.options.getRemoteSchedulers().filter(remote => !job.remoteTasks.has(remote.zone));
