Dispatch: an owner that knows no worker yet does not take a job for one without runs

What callers would see: TWICE, or a refusal of work that runs (found by review). Cause: of no workers, all had listed their runs. Evidence: unprovenEnds.test.ts, "by a new owner that knows no worker yet ..." (forwards the task; refuses the job): both fail before, pass after.

--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -58,8 +58,11 @@
         return oversized && `no worker is large enough for task ${oversized.name}`;
     }
 
-    /** True once every worker has listed its runs. */
+    /** True once every worker has listed its runs; false while none is known. */
     areAllListed(): boolean {
+        if (this.workers.size === 0) {
+            return false;
+        }
         for (const { session } of this.workers.values()) {
             if (!session.isListed) {
                 return false;
