Dispatch: a list with unreadable rows does not count as all runs of a worker

What callers would see: TWICE (found by review). Cause: a new owner took a list of which a row could not be read for complete, and started the task whose run was in that row. Change: a worker is usable with any list, but has listed its runs only with a complete one.

--- a/packages/dispatch/src/ListReader.ts
+++ b/packages/dispatch/src/ListReader.ts
@@ -28,6 +28,8 @@
     /** The worker's clock in the latest list of its current incarnation. */
     private newestClock: Milliseconds = 0;
     private listedIncarnation = 0;
+    /** When the latest list without unreadable rows was requested; negative before the first. */
+    private completeListSentAt: Milliseconds = -1;
 
     constructor(private readonly options: ListReaderOptions) {}
 
@@ -41,6 +43,11 @@
         return this.listedIncarnation;
     }
 
+    /** True when all rows of a list that was requested then or later could be read. */
+    isCompleteSince(time: Milliseconds): boolean {
+        return this.completeListSentAt >= time;
+    }
+
     /** Applies a list that was requested at `sentAt`. */
     read(list: RunList, sentAt: Milliseconds): ListResult {
         const isSameIncarnation = list.incarnation === this.incarnation;
@@ -59,6 +66,9 @@
             this.endMissing(list, sentAt, isRestart);
         }
         this.addFoundRuns(list);
+        if (!list.isIncomplete) {
+            this.completeListSentAt = Math.max(this.completeListSentAt, sentAt);
+        }
         return result;
     }
 
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -82,9 +82,9 @@
         return this.announced;
     }
 
-    /** True when the worker has listed its runs since this owner's fencing token was last raised. */
+    /** True when the worker has listed all its runs since this owner's fencing token was last raised. */
     get isListed(): boolean {
-        return this.hasCurrentList;
+        return this.lists.isCompleteSince(this.listsValidFrom);
     }
 
     get isUsable(): boolean {
