Dispatch: a task goes on with a run that was found while its own run was being stopped

What callers would see: a third run, and a late answer (found by review). Cause: a run found while the task's own run is being stopped was neither assigned, as the task was placed, nor looked at again when it was queued; its result was discarded. And of two runs the found one was stopped also when the other was only a start without an answer. Change: a task that is queued again adopts a run that goes on; the confirmed one of two runs stays.

--- a/packages/dispatch/src/FoundRuns.ts
+++ b/packages/dispatch/src/FoundRuns.ts
@@ -22,18 +22,19 @@
         private readonly liveRuns: LiveRuns,
     ) {}
 
-    /** Assigns a run that is already in progress to its task. */
-    adopt(job: ScheduledJob, task: ScheduledTask): void {
+    /** Assigns a run that is already in progress to its task; false without one. */
+    adopt(job: ScheduledJob, task: ScheduledTask): boolean {
         const session = this.liveRuns.get(task.request.name).find(worker =>
             isGoingOn(worker.getRun(task.request.name))
         );
         const run = session?.getRun(task.request.name);
         if (!session || !run || task.state !== "waiting") {
-            return;
+            return false;
         }
         session.setRequest(run, task.request);
         markPlaced(job, task, session, run.run, run.orderedAt);
         this.context.logger.info("run adopted", { job: job.request.id, task: run.task, run: run.run });
+        return true;
     }
 
     /** Handles a run that was found in a worker's list. */
@@ -43,8 +44,10 @@
         );
         this.liveRuns.add(run.task, session);
         if (other) {
-            logSecondRun(this.context, session, run, other);
-            session.stop(run.task);
+            const isOtherRunning = other.getRun(run.task)?.state === "running";
+            const stopped = isOtherRunning ? session : other;
+            logSecondRun(this.context, session, run, other, stopped);
+            stopped.stop(run.task);
             return;
         }
         const owner = this.jobs.findTask(run.task);
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -298,8 +298,10 @@
     private requeueTask(job: ScheduledJob, task: ScheduledTask): void {
         task.state = "waiting";
         job.waiting += 1;
-        this.jobs.enqueue(job);
-        this.rounds.schedule();
+        if (!this.foundRuns.adopt(job, task)) {
+            this.jobs.enqueue(job);
+            this.rounds.schedule();
+        }
     }
 
     private finish(job: ScheduledJob, answer: JobAnswer): void {
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -104,14 +104,17 @@
     session: WorkerSession,
     run: Run,
     other: WorkerSession,
+    stopped: WorkerSession,
 ): void => {
     metrics.count("anvilmux_second_runs_total");
-    logger.error("task runs on two workers; the run found last is being stopped", {
+    logger.error("task may run on two workers; one run is being stopped", {
         task: run.task,
         run: run.run,
         worker: session.id,
         otherRun: other.getRun(run.task)?.run,
+        otherState: other.getRun(run.task)?.state,
         otherWorker: other.id,
+        stoppedAt: stopped.id,
     });
 };
 
