Dispatch: the lease of a worker that a poll found reachable again is extended at once

What callers saw: late answers. Cause: the loop that extends the lease pauses for up to 2 s while a worker does not answer; a poll that was answered meanwhile made the worker usable, and what was started there had the 0.1 s of its start as a lease, and lapsed. Evidence: unprovenEnds.test.ts, "a run goes on when a poll ...": lapsed before, done after. Change: an answer that makes a worker reachable ends the pause.

--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -4,7 +4,6 @@
  * lists runs.
  */
 
-import { sleep } from "@anvilmux/common";
 import type { Milliseconds } from "@anvilmux/common";
 import type { LogFields } from "@anvilmux/telemetry";
 import {
@@ -19,11 +18,13 @@
     watchGraceMs,
     workerLeaseMs,
 } from "./constants";
+import { InterruptiblePause } from "./InterruptiblePause";
 import { ListReader } from "./ListReader";
 import { RunStopper } from "./RunStopper";
 import { isInferred, newRun, RunTable } from "./RunTable";
 import type { Run, RunEnd, RunEndCause, RunOutcome } from "./RunTable";
 import { logUnassignedRun } from "./schedulerLog";
+import { getRefusalOutcome, getRefusalPause } from "./startRefusals";
 import { fits, getLargerResources, subtractResources } from "./types";
 import type { RefusedStart, Resources, RunList, StartAnswer, TaskName, TaskRequest, Unanswered } from "./types";
 import type { WorkerAnnouncement, WorkerId } from "./types";
@@ -50,6 +51,7 @@
     /** True while the latest watch found that the worker's process does not run. */
     private isProcessDown = false;
     private readonly paused: WorkerPause;
+    private readonly loopPause: InterruptiblePause;
 
     constructor(private readonly options: WorkerSessionOptions) {
         this.announced = options.announcement;
@@ -57,6 +59,7 @@
         this.freeResources = options.announcement.room;
         this.workerTime = new WorkerTime(options.clock);
         this.paused = new WorkerPause(options.clock);
+        this.loopPause = new InterruptiblePause(options.timers);
         this.lists = new ListReader({
             ...options,
             worker: this.id,
@@ -257,29 +260,20 @@
 
     private handleStartRefusal(run: Run, fencingToken: number, answer: RefusedStart): void {
         const { reason, relay } = answer;
-        const endAs = (outcome: RunOutcome) => this.end(run, { outcome, cause: "refused", relay });
         this.options.metrics.count("anvilmux_start_refusals_total", { reason });
         logRefusedStart(this.options.logger, this.id, run, answer, this.free.millicores);
+        this.pause(getRefusalPause(reason));
+        this.end(run, { outcome: getRefusalOutcome(reason), cause: "refused", relay });
         if (reason === "fence") {
-            this.pause(firstRetryPauseMs);
-            endAs("refused");
             this.options.onFenced(fencingToken);
-            return;
-        }
-        if (reason === "unhealthy") {
-            this.pause(longestRetryPauseMs);
         }
-        if (reason === "room") {
-            this.pause(firstRetryPauseMs);
-        }
-        endAs(reason === "old" ? "refused-old" : reason === "invalid" ? "invalid" : "refused");
     }
 
     private async runWatchLoop(): Promise<void> {
         while (!this.closed) {
             const pause = await this.watchOnce();
             if (pause > 0) {
-                await sleep(this.options.timers, pause);
+                await this.loopPause.wait(pause);
             }
         }
     }
@@ -330,7 +324,10 @@
             return 0;
         }
         const wasUsable = this.reachable && this.hasCurrentList;
-        this.reachable = true;
+        if (!this.reachable) {
+            this.reachable = true;
+            this.loopPause.end();
+        }
         if (!this.hasCurrentList && sentAt >= this.listsValidFrom) {
             this.hasCurrentList = true;
             // From now on the worker refuses a former owner, whose last lease may have been granted just before.
