--- a/packages/dispatch/tests/runsOnTwoWorkers.test.ts
+++ b/packages/dispatch/tests/runsOnTwoWorkers.test.ts
@@ -112,7 +112,7 @@
         expect(fixture.doubleRuns).toEqual([]);
     });
 
-    test("when a start reaches the next life of its worker after that life was listed", async () => {
+    test("when a start reaches the next incarnation of its worker after that one was listed", async () => {
         const fixture = new SchedulerFixture(2);
         const { time } = fixture;
         const calls = new OwnerCalls(fixture);
@@ -211,7 +211,7 @@
         expect(fixture.doubleRuns).toEqual([]);
     });
 
-    test("when a start that was given up reaches the next life of its worker, whose clock began anew", async () => {
+    test("when a start that was given up reaches the next incarnation of its worker, whose clock began anew", async () => {
         const fixture = new SchedulerFixture(2, 480_000);
         const { time } = fixture;
         const calls = new OwnerCalls(fixture);
--- a/packages/dispatch/tests/simulation/FaultInjector.ts
+++ b/packages/dispatch/tests/simulation/FaultInjector.ts
@@ -48,7 +48,7 @@
             case "late calls counted from arrival":
                 this.delayCalls(this.pickWorker(), true);
                 return;
-            case "reborn behind a cut":
+            case "restarted behind a cut":
                 this.restartBehindCut(this.pickWorker());
                 return;
             case "silent cut":
--- a/packages/dispatch/tests/simulation/WorkerNetwork.ts
+++ b/packages/dispatch/tests/simulation/WorkerNetwork.ts
@@ -1,6 +1,6 @@
 /**
  * The network between entries and workers under faults: a worker can be cut off from some entries, and calls to a worker
- * can go unanswered and be carried out seconds later, after newer calls, also by a later life of the worker.
+ * can go unanswered and be carried out seconds later, after newer calls, also by a later incarnation of the worker.
  */
 
 import type { Milliseconds, Random, VirtualTime } from "@anvilmux/common";
--- a/packages/dispatch/tests/simulation/WorkerSimulation.ts
+++ b/packages/dispatch/tests/simulation/WorkerSimulation.ts
@@ -51,7 +51,7 @@
 const heartbeatMs = 400;
 const taskMillicores = 6_000;
 const room = { millicores: 16_000, memoryMebibytes: 32_768, accelerators: 0 };
-/** A worker's clock at the start of a simulation; a new life's clock begins at zero. */
+/** A worker's clock at the start of a simulation; that of a new incarnation begins at zero. */
 const firstWorkerClockMs = 480_000;
 const largestClockDrift = 0.02;
 /** Calls of seconds are rare between entries that are connected. */
--- a/packages/dispatch/tests/simulation/faultProfiles.ts
+++ b/packages/dispatch/tests/simulation/faultProfiles.ts
@@ -3,7 +3,7 @@
 export type FaultKind =
     | "late calls"
     | "late calls counted from arrival"
-    | "reborn behind a cut"
+    | "restarted behind a cut"
     | "silent cut"
     | "one-way cut"
     | "refused cut"
@@ -38,7 +38,7 @@
 export const faultProfiles: readonly FaultProfile[] = [
     newProfile("late orders", ["late calls"]),
     newProfile("late orders counted from arrival", ["late calls counted from arrival"]),
-    newProfile("reborn behind a cut", ["reborn behind a cut"]),
+    newProfile("restarted behind a cut", ["restarted behind a cut"]),
     newProfile("silent cuts", ["silent cut"]),
     newProfile("one-way cuts", ["one-way cut"]),
     newProfile("refused cuts", ["refused cut", "reset cut"]),
@@ -50,11 +50,11 @@
     newProfile("late orders and cuts", ["late calls", "silent cut", "one-way cut", "refused cut"]),
     newProfile("late orders and relay faults", ["late calls", "late calls", ...relayFaults]),
     newProfile("late orders and owner changes", ["late calls", "late calls", ...ownerChanges], resubmission),
-    newProfile("late orders and reborn workers", ["late calls", "reborn behind a cut"]),
+    newProfile("late orders and restarted workers", ["late calls", "restarted behind a cut"]),
     newProfile("cuts and owner changes", ["silent cut", "one-way cut", "refused cut", ...ownerChanges], resubmission),
     newProfile("cuts and relay faults", ["silent cut", "one-way cut", "refused cut", ...relayFaults]),
     newProfile("cuts and reclaiming owners", ["silent cut", "one-way cut", "refused cut", "reclaim"], resubmission),
-    newProfile("reborn workers and owner changes", ["reborn behind a cut", ...ownerChanges], resubmission),
+    newProfile("restarted workers and owner changes", ["restarted behind a cut", ...ownerChanges], resubmission),
     newProfile("late orders and two owners at a time", ["late calls", "late calls", "two owners"], resubmission),
     newProfile(
         "cuts and two owners at a time",
--- a/packages/dispatch/tests/unprovenEnds.test.ts
+++ b/packages/dispatch/tests/unprovenEnds.test.ts
@@ -290,7 +290,7 @@
     expect(fixture.answers.get("a")).toEqual({ kind: "completed" });
 });
 
-test("a lease of a late watch, which reaches the next life of its worker, is not taken for one that has expired", async () => {
+test("a lease of a late watch, which reaches the next incarnation of its worker, is not taken for one that has expired", async () => {
     const fixture = new SchedulerFixture(2, 480_000);
     const { time } = fixture;
     const [worker, other] = fixture.workers as [LeasedWorker, LeasedWorker];
