--- a/packages/dispatch/tests/runsWithoutProof.test.ts
+++ b/packages/dispatch/tests/runsWithoutProof.test.ts
@@ -5,6 +5,18 @@
 
 import { SchedulerFixture } from "./schedulerFixture";
 
+/** Two workers, of which one runs a task whose owner has ended. */
+const newFormerRun = async () => {
+    const fixture = new SchedulerFixture(2);
+    const former = fixture.newScheduler(1);
+    await fixture.time.advance(20);
+    const request = fixture.newJob("a", { runMs: 700, objectiveMs: 9_000 });
+    fixture.submit(former, request);
+    await fixture.time.advance(50);
+    former.stop();
+    return { fixture, request, worker: fixture.workers.find(({ runningCount }) => runningCount === 1)! };
+};
+
 describe("a run whose end is not certain", () => {
     test("a start that may reach the worker's next incarnation is not repeated on another worker", async () => {
         const fixture = new SchedulerFixture(2);
@@ -23,14 +35,8 @@
     });
 
     test("a job sent again through another entry is not started while a worker has not listed its runs", async () => {
-        const fixture = new SchedulerFixture(2);
-        const former = fixture.newScheduler(1);
-        await fixture.time.advance(20);
-        const request = fixture.newJob("a", { runMs: 700, objectiveMs: 9_000 });
-        fixture.submit(former, request);
-        await fixture.time.advance(50);
-        former.stop();
-        fixture.workers.find(worker => worker.runningCount === 1)!.isUnreachable = true;
+        const { fixture, request, worker } = await newFormerRun();
+        worker.isUnreachable = true;
         const next = fixture.newScheduler(2);
         await fixture.time.advance(100);
         fixture.submit(next, request, "another entry");
@@ -40,14 +46,8 @@
     });
 
     test("a job that arrives right after a change of owner is not started before all workers listed their runs", async () => {
-        const fixture = new SchedulerFixture(2);
-        const former = fixture.newScheduler(1);
-        await fixture.time.advance(20);
-        const request = fixture.newJob("a", { runMs: 700, objectiveMs: 9_000 });
-        fixture.submit(former, request);
-        await fixture.time.advance(50);
-        former.stop();
-        fixture.workers.find(worker => worker.runningCount === 1)!.listLatencyMs = 30;
+        const { fixture, request, worker } = await newFormerRun();
+        worker.listLatencyMs = 30;
         const next = fixture.newScheduler(2);
         await fixture.time.advance(5);
         fixture.submit(next, request, "another entry");
@@ -57,14 +57,8 @@
     });
 
     test("a job that a new owner could not start is not refused as not run while a worker may run it", async () => {
-        const fixture = new SchedulerFixture(2);
-        const former = fixture.newScheduler(1);
-        await fixture.time.advance(20);
-        const request = fixture.newJob("a", { runMs: 700, objectiveMs: 9_000 });
-        fixture.submit(former, request);
-        await fixture.time.advance(50);
-        former.stop();
-        fixture.workers.find(worker => worker.runningCount === 1)!.isUnreachable = true;
+        const { fixture, request, worker } = await newFormerRun();
+        worker.isUnreachable = true;
         const next = fixture.newScheduler(2);
         await fixture.time.advance(100);
         fixture.submit(next, { ...request, remainingMs: 300 }, "another entry");
