--- a/packages/dispatch/tests/workerFaults.test.ts
+++ b/packages/dispatch/tests/workerFaults.test.ts
@@ -59,7 +59,7 @@
     {
         profile: "unlisted workers and owner changes",
         failure: "a new owner misses a run on a worker that it does not know",
-        seeds: [3, 50],
+        seeds: [3, 5, 50],
     },
 ];
 
