--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -4,7 +4,7 @@
  */
 
 import { spawn } from "node:child_process";
-import { createWriteStream, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { cpSync, createWriteStream, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
@@ -163,10 +163,13 @@
         return this.#processes.has(name);
     }
 
-    /** Ends all processes that this deployment started, and removes its folder. */
+    /** Ends all processes that this deployment started, and removes its folder; KEEP_LOGS names a folder for a copy. */
     async stop() {
         this.#processes.forEach(child => child.kill("SIGKILL"));
         await waitFor(() => this.#processes.size === 0, 3_000);
+        if (process.env.KEEP_LOGS) {
+            cpSync(this.folder, process.env.KEEP_LOGS, { recursive: true });
+        }
         rmSync(this.folder, { recursive: true, force: true });
     }
 
