--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,9 +1,9 @@
 /**
- * A runner of a service whose runners do not guard their capacity crashes and starts again under its id as a smaller
- * kind, while all control processes are down. The entry sees the new incarnation in the runner's lists, and goes on to
- * start what the former incarnation had room for.
+ * A new deployment starts. One of the three control processes is killed once, while the control group is being formed,
+ * and is back a second later. Then everything is calm, and the operator sends the first configuration.
  */
 
+import { existsSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { bounds, Deployment, newConfiguration } from "../lib/deployment.mjs";
 import { call } from "../lib/http.mjs";
@@ -15,13 +15,9 @@
 const service = "rider-desk";
 const prefix = "/drop/";
 const host = "case3.example";
-const largeCpu = 16_000;
-const smallCpu = 8_000;
-/** Each task needs this much: two fit into the large kind, one into the small one. */
-const taskCpu = 6_800;
-/** The site's days let all machines with a disk lose power for up to 9.5 s. */
-const controlDownMs = 9_000;
-const runnerDownMs = 500;
+/** Time for which the operator sends the first configuration again. */
+const operatorLimitMs = 45_000;
+const restartDelayMs = 1_000;
 const exitHeld = 0;
 const exitBroken = 1;
 const exitNotRun = 2;
@@ -36,88 +32,76 @@
     ],
 });
 const { ports } = deployment;
-const controls = ["control-a", "control-b", "control-c"];
-let overfilled = 0;
-const newRunner = (id, address) =>
-    new Runner({
-        id,
-        host: address,
-        port: ports.front,
-        zone: "zone-a",
-        service,
-        cpu: largeCpu,
-        guards: false,
-        maxHoldMs: bounds.max_hold_ms,
-        heartbeatMs: 1_500,
-        controls: () => deployment.controlHosts.map(control => ({ host: control, port: ports.control })),
-        record,
-        onStart: (runner, task, run) => {
-            if (runner.used > runner.cpu) {
-                overfilled += 1;
-                record.add("over-capacity", { id, task, run, used: runner.used, capacity: runner.cpu });
-            }
-        },
-    });
-const runners = [newRunner("i-1", "127.36.3.5"), newRunner("i-2", "127.36.3.6")];
-let jobCount = 0;
-const answers = new Map();
-
-/** Hands in a job of two tasks, as much as one large runner takes. */
-const submitJob = async () => {
-    jobCount += 1;
-    const id = jobCount.toString(16).padStart(16, "0");
-    const job = {
-        spec: JSON.stringify({ cpu: taskCpu, ms: 200 }),
-        phases: [{ count: 2, cpu: taskCpu, mem_mb: 64, estimate_ms: 200 }],
-        best_effort: true,
-    };
-    const answer = await call("POST", "127.36.3.4", ports.front, `${prefix}${id}`, job, {
-        headers: { "host": host, "anvilmux-deadline-ms": "1500" },
-        timeoutMs: 3_000,
-    }).catch(error => ({ status: error.message }));
-    record.add("job", { id, status: answer.status });
-    answers.set(answer.status, (answers.get(answer.status) ?? 0) + 1);
-};
+const runner = new Runner({
+    id: "i-1",
+    host: "127.36.3.5",
+    port: ports.front,
+    zone: "zone-a",
+    service,
+    cpu: 16_000,
+    guards: true,
+    maxHoldMs: bounds.max_hold_ms,
+    heartbeatMs: 1_500,
+    controls: () => deployment.controlHosts.map(control => ({ host: control, port: ports.control })),
+    record,
+});
 
-const sendJobs = async durationMs => {
-    const until = performance.now() + durationMs;
-    const open = [];
-    while (performance.now() < until) {
-        open.push(submitJob());
-        await sleep(120);
+/** Kills control-c as soon as control-b has stored the group that control-a is forming. */
+const killWhileForming = () => {
+    const formedAtB = join(deployment.dataFolder("control-b"), "snapshot");
+    const until = performance.now() + 20_000;
+    while (!existsSync(formedAtB)) {
+        if (performance.now() > until) {
+            return false;
+        }
     }
-    await Promise.all(open);
+    deployment.signal("control-c", "SIGKILL");
+    return true;
 };
 
+const isFormed = name => existsSync(join(deployment.dataFolder(name), "snapshot"));
+
 const run = async () => {
     deployment.startAll();
-    const configuration = newConfiguration({ version: 2, host, prefix, service, enforcesCapacity: false });
-    if (!await deployment.putConfiguration(configuration, 30_000)) {
-        return exitNotRun;
-    }
-    await Promise.all(runners.map(runner => runner.start()));
-    await deployment.waitUntilReady("entry-a", 10_000);
-    await sleep(3_000);
-    await sendJobs(2_000);
-    if (overfilled > 0 || (answers.get(200) ?? 0) === 0) {
-        record.add("not-run", { reason: "jobs were not served before the disruption", overfilled });
-        return exitNotRun;
-    }
-    const traffic = sendJobs(12_000);
     if (isTroubled) {
-        controls.forEach(name => deployment.signal(name, "SIGKILL"));
-        await waitFor(() => controls.every(name => !deployment.isRunning(name)), 3_000);
-        await sleep(500);
-        await runners[0].crash();
-        await sleep(runnerDownMs);
-        await runners[0].start(smallCpu);
-        await sleep(controlDownMs - 500 - runnerDownMs);
-        controls.forEach(name => deployment.start(name));
+        // The check below does not yield, so the processes' output is read only after it.
+        await sleep(50);
+        if (!killWhileForming()) {
+            record.add("no-group", { reason: "control-b stored no group in time" });
+            return exitNotRun;
+        }
+        await waitFor(() => !deployment.isRunning("control-c"), 2_000, 5);
+        record.add("formed", { b: isFormed("control-b"), c: isFormed("control-c") });
+        await sleep(restartDelayMs);
+        deployment.start("control-c");
+    }
+    const calmFrom = record.add("calm");
+    await runner.start();
+    const configuration = newConfiguration({ version: 2, host, prefix, service });
+    const isAcknowledged = await deployment.putConfiguration(configuration, operatorLimitMs);
+    const tookMs = Math.round(record.now - calmFrom);
+    record.add("first-configuration", { acknowledged: isAcknowledged, tookMs });
+    ["control-a", "control-b", "control-c"].forEach(name => {
+        const won = readFileSync(deployment.logPath(name), "utf8").includes("control leadership won");
+        record.add("control", { name, running: deployment.isRunning(name), hasGroup: isFormed(name), hasLed: won });
+    });
+    if (!isAcknowledged) {
+        record.add("broken", { rule: "Acks", allowedMs: bounds.contact_ms + bounds.ack_ms, waitedMs: tookMs });
+        return exitBroken;
     }
-    await traffic;
-    await sleep(1_000);
-    record.add("result", { overfilled, answers: Object.fromEntries(answers) });
-    return overfilled > 0 ? exitBroken : exitHeld;
+    await deployment.waitUntilReady("entry-a", 10_000);
+    await sleep(2_000);
+    const job = {
+        spec: JSON.stringify({ cpu: 6_800, ms: 100 }),
+        phases: [{ count: 2, cpu: 6_800, mem_mb: 64, estimate_ms: 100 }],
+        best_effort: true,
+    };
+    const answer = await call("POST", "127.36.3.4", ports.front, `${prefix}00000000000000a1`, job, {
+        headers: { "host": host, "anvilmux-deadline-ms": "1500" },
+        timeoutMs: 3_000,
+    });
+    record.add("job", { status: answer.status, body: answer.text });
+    return answer.status === 200 ? exitHeld : exitNotRun;
 };
 
 let exitCode = exitNotRun;
@@ -127,7 +111,9 @@
 catch (error) {
     record.add("not-run", { reason: error.stack });
 }
-await Promise.all(runners.filter(runner => runner.isUp).map(runner => runner.crash()));
+if (runner.isUp) {
+    await runner.crash();
+}
 await deployment.stop();
 record.add("exit", { code: exitCode });
 record.write();
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -11,6 +11,8 @@
 import { call } from "./http.mjs";
 import { sleep, waitFor } from "./record.mjs";
 
+/** Of a case that could not run. */
+const exitNotRun = 2;
 const root = resolve(import.meta.dirname, "../..");
 
 /** The bounds of the site that the claims name. */
@@ -67,6 +69,11 @@
 export class Deployment {
     #processes = new Map();
 
+    constructor() {
+        process.on("exit", () => this.#processes.forEach(child => child.kill("SIGKILL")));
+        ["SIGINT", "SIGTERM"].forEach(signal => process.once(signal, () => process.exit(exitNotRun)));
+    }
+
     /** `machines`: rows of name, role (entry or control), ip and zone. */
     static async create({ machines, record, heartbeatMs = 1_500 }) {
         const deployment = new Deployment();
