Show that the owner ignores the cancelling of jobs that came back early

Found: when a connection between an entry and the owner replaces one that is not closed yet, the open jobs are submitted again before the state of the entry is sent. The owner files them under a key that the connection has for a moment only, and ignores the entry's later cancel and the end of the connection.

Shown by review/1/run.sh: an entry is stopped for 4 s; its clients give up after it has woken and send the jobs to another zone.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,7 +1,8 @@
 /**
- * One of three entries of a zone stands still for 4 s. Clients that had just sent it their jobs get no answer, give up at
- * their deadline, close their connections and, as the pages say, send the jobs again 1.3 s later, to an entry of another
- * zone, where they run. The case watches whether a task runs twice at the same time once the entry wakes.
+ * An entry stands still for 4 s, so that its connections are replaced by newer ones, and wakes. Jobs that were sent to it
+ * meanwhile start on the workers of its zone, by order of their owner. Their clients still wait, give up at their deadline
+ * before the tasks end, close their connections and, as the pages say, send the jobs again 1.3 s later, to an entry of another
+ * zone. The case watches whether a task runs twice at the same time.
  */
 
 import { join } from "node:path";
@@ -16,13 +17,16 @@
 const prefix = "/screen/";
 const host = "case1.example";
 const frozen = "entry-a-2";
+/** Started first, so that it owns the workers of the zone. */
+const owner = "entry-a-3";
 /** The site lets machines stand still for 4 s. */
 const freezeMs = 4_000;
-const taskMs = 1_200;
-const deadlineMs = 1_500;
+/** The site's longest tasks take 8.1 s. */
+const taskMs = 4_000;
+const deadlineMs = 5_000;
 /** Jobs are sent to the entry for so long after it was stopped, well before the platform has seen two misses. */
 const sendingMs = 1_000;
-const jobPeriodMs = 80;
+const jobPeriodMs = 130;
 const maximumTries = 3;
 const exitHeld = 0;
 const exitBroken = 1;
@@ -31,13 +35,13 @@
 const deployment = await Deployment.create({
     record,
     machines: [
-        { name: "control-a", role: "control", ip: "127.36.1.1", zone: "zone-a" },
-        { name: "control-b", role: "control", ip: "127.36.1.2", zone: "zone-b" },
-        { name: "control-c", role: "control", ip: "127.36.1.3", zone: "zone-c" },
-        { name: "entry-a-1", role: "entry", ip: "127.36.1.4", zone: "zone-a" },
-        { name: "entry-a-2", role: "entry", ip: "127.36.1.5", zone: "zone-a" },
-        { name: "entry-a-3", role: "entry", ip: "127.36.1.6", zone: "zone-a" },
-        { name: "entry-b-1", role: "entry", ip: "127.36.1.7", zone: "zone-b" },
+        { name: "control-a", role: "control", ip: "127.36.6.1", zone: "zone-a" },
+        { name: "control-b", role: "control", ip: "127.36.6.2", zone: "zone-b" },
+        { name: "control-c", role: "control", ip: "127.36.6.3", zone: "zone-c" },
+        { name: "entry-a-1", role: "entry", ip: "127.36.6.4", zone: "zone-a" },
+        { name: "entry-a-2", role: "entry", ip: "127.36.6.5", zone: "zone-a" },
+        { name: "entry-a-3", role: "entry", ip: "127.36.6.6", zone: "zone-a" },
+        { name: "entry-b-1", role: "entry", ip: "127.36.6.7", zone: "zone-b" },
     ],
 });
 const { ports } = deployment;
@@ -65,10 +69,10 @@
         },
     });
 for (let index = 0; index < 6; index++) {
-    runners.push(newRunner(`i-a${index}`, `127.36.1.${20 + index}`, "zone-a"));
+    runners.push(newRunner(`i-a${index}`, `127.36.6.${20 + index}`, "zone-a"));
 }
 for (let index = 0; index < 8; index++) {
-    runners.push(newRunner(`i-b${index}`, `127.36.1.${30 + index}`, "zone-b"));
+    runners.push(newRunner(`i-b${index}`, `127.36.6.${30 + index}`, "zone-b"));
 }
 
 let jobCount = 0;
@@ -100,11 +104,14 @@
 };
 
 const run = async () => {
-    deployment.startAll();
+    ["control-a", "control-b", "control-c", owner, "entry-b-1"].forEach(name => deployment.start(name));
     if (!await deployment.putConfiguration(newConfiguration({ version: 2, host, prefix, service }), 30_000)) {
         return exitNotRun;
     }
     await Promise.all(runners.map(runner => runner.start()));
+    await deployment.waitUntilReady(owner, 10_000);
+    await sleep(2_000);
+    ["entry-a-1", frozen].forEach(name => deployment.start(name));
     for (const name of ["entry-a-1", "entry-a-2", "entry-a-3", "entry-b-1"]) {
         await deployment.waitUntilReady(name, 10_000);
     }
