--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,23 +1,36 @@
 /**
- * A new deployment starts. One of the three control processes is killed once, while the control group is being formed,
- * and is back a second later. Then everything is calm, and the operator sends the first configuration.
+ * The only entry of a zone, which owns the zone's workers, stands still for 4 s. A full zone goes on to forward tasks to
+ * it. Their clients are answered 504 and send the jobs again 1.3 s later, to an entry of a third zone, where they run.
+ * The case watches whether a task runs twice at the same time once the entry wakes.
  */
 
-import { existsSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { bounds, Deployment, newConfiguration } from "../lib/deployment.mjs";
 import { call } from "../lib/http.mjs";
-import { Record, sleep, waitFor } from "../lib/record.mjs";
+import { Record, sleep } from "../lib/record.mjs";
 import { Runner } from "../lib/Runner.mjs";
 
 const isTroubled = process.env.TROUBLE !== "0";
 const record = new Record(join(import.meta.dirname, "record.txt"));
 const service = "rider-desk";
-const prefix = "/drop/";
+const prefix = "/screen/";
 const host = "case3.example";
-/** Time for which the operator sends the first configuration again. */
-const operatorLimitMs = 45_000;
-const restartDelayMs = 1_000;
+const frozen = "entry-b-1";
+/** The site lets machines stand still for 4 s. */
+const freezeMs = 4_000;
+const taskMs = 2_500;
+const deadlineMs = 4_000;
+/** Tasks that fill the zone whose entry forwards the others. */
+const fillingMs = 8_000;
+/** Jobs are sent to the full zone for so long after the entry was stopped. */
+const sendingMs = 1_800;
+const jobPeriodMs = 230;
+/** Jobs of the frozen entry's own zone, sent before the platform has seen two misses; their clients wait for it. */
+const ownSendingMs = 1_000;
+const ownJobsAtOnce = 8;
+const ownTaskMs = 200;
+const ownDeadlineMs = 9_000;
+const maximumTries = 3;
 const exitHeld = 0;
 const exitBroken = 1;
 const exitNotRun = 2;
@@ -25,83 +38,113 @@
 const deployment = await Deployment.create({
     record,
     machines: [
-        { name: "control-a", role: "control", ip: "127.36.3.1", zone: "zone-a" },
-        { name: "control-b", role: "control", ip: "127.36.3.2", zone: "zone-b" },
-        { name: "control-c", role: "control", ip: "127.36.3.3", zone: "zone-c" },
-        { name: "entry-a", role: "entry", ip: "127.36.3.4", zone: "zone-a" },
+        { name: "control-a", role: "control", ip: "127.36.2.1", zone: "zone-a" },
+        { name: "control-b", role: "control", ip: "127.36.2.2", zone: "zone-b" },
+        { name: "control-c", role: "control", ip: "127.36.2.3", zone: "zone-c" },
+        { name: "entry-a-1", role: "entry", ip: "127.36.2.4", zone: "zone-a" },
+        { name: "entry-b-1", role: "entry", ip: "127.36.2.5", zone: "zone-b" },
+        { name: "entry-c-1", role: "entry", ip: "127.36.2.6", zone: "zone-c" },
     ],
 });
 const { ports } = deployment;
-const runner = new Runner({
-    id: "i-1",
-    host: "127.36.3.5",
-    port: ports.front,
-    zone: "zone-a",
-    service,
-    cpu: 16_000,
-    guards: true,
-    maxHoldMs: bounds.max_hold_ms,
-    heartbeatMs: 1_500,
-    controls: () => deployment.controlHosts.map(control => ({ host: control, port: ports.control })),
-    record,
+let doubled = 0;
+const runners = [];
+const newRunner = (id, address, zone) =>
+    new Runner({
+        id,
+        host: address,
+        port: ports.front,
+        zone,
+        service,
+        cpu: 16_000,
+        guards: true,
+        maxHoldMs: bounds.max_hold_ms,
+        heartbeatMs: 1_500,
+        controls: () => deployment.controlHosts.map(control => ({ host: control, port: ports.control })),
+        record,
+        onStart: (runner, task, run) => {
+            const others = runners.filter(other => other !== runner && other.isUp && other.runs.has(task));
+            if (others.length > 0) {
+                doubled += 1;
+                record.add("runs-twice", { task, run, on: id, also: others.map(other => other.options.id).join(",") });
+            }
+        },
+    });
+const counts = { a: 1, b: 3, c: 2 };
+Object.entries(counts).forEach(([zone, count], position) => {
+    for (let index = 0; index < count; index++) {
+        runners.push(newRunner(`i-${zone}${index}`, `127.36.2.${20 + 10 * position + index}`, `zone-${zone}`));
+    }
 });
 
-/** Kills control-c as soon as control-b has stored the group that control-a is forming. */
-const killWhileForming = () => {
-    const formedAtB = join(deployment.dataFolder("control-b"), "snapshot");
-    const until = performance.now() + 20_000;
-    while (!existsSync(formedAtB)) {
-        if (performance.now() > until) {
-            return false;
+let jobCount = 0;
+const answers = new Map();
+
+/** A client: sends its job, and again after no answer, a broken connection, 502 or 504, first to `entryName`. */
+const runClient = async (entryName, { ms = taskMs, count = 1, timeoutMs = deadlineMs } = {}) => {
+    jobCount += 1;
+    const id = jobCount.toString(16).padStart(16, "0");
+    const job = {
+        spec: JSON.stringify({ cpu: 6_800, ms }),
+        phases: [{ count, cpu: 6_800, mem_mb: 64, estimate_ms: ms }],
+        best_effort: true,
+    };
+    for (let attempt = 0; attempt < maximumTries; attempt++) {
+        const to = attempt === 0 ? entryName : "entry-c-1";
+        record.add("job-sent", { id, to });
+        const answer = await call("POST", deployment.machines.get(to).ip, ports.front, `${prefix}${id}`, job, {
+            headers: { "host": host, "anvilmux-deadline-ms": String(timeoutMs) },
+            timeoutMs,
+        }).catch(error => ({ status: error.message }));
+        record.add("job-answered", { id, by: to, status: answer.status });
+        if ([200, 404, 429, 503].includes(answer.status)) {
+            answers.set(answer.status, (answers.get(answer.status) ?? 0) + 1);
+            return;
         }
+        await sleep(bounds.retransmit_ms);
     }
-    deployment.signal("control-c", "SIGKILL");
-    return true;
 };
 
-const isFormed = name => existsSync(join(deployment.dataFolder(name), "snapshot"));
-
 const run = async () => {
     deployment.startAll();
+    if (!await deployment.putConfiguration(newConfiguration({ version: 2, host, prefix, service }), 30_000)) {
+        return exitNotRun;
+    }
+    await Promise.all(runners.map(runner => runner.start()));
+    for (const name of ["entry-a-1", "entry-b-1", "entry-c-1"]) {
+        await deployment.waitUntilReady(name, 10_000);
+    }
+    await sleep(4_000);
+    const clients = [runClient("entry-a-1"), runClient("entry-b-1"), runClient("entry-c-1")];
+    await Promise.all(clients);
+    if ((answers.get(200) ?? 0) < clients.length) {
+        record.add("not-run", { reason: "jobs were not served before the disruption" });
+        return exitNotRun;
+    }
+    clients.push(runClient("entry-a-1", { ms: fillingMs, count: 2, timeoutMs: fillingMs * 2 }));
+    await sleep(300);
+    const stoppedAt = performance.now();
     if (isTroubled) {
-        // The check below does not yield, so the processes' output is read only after it.
-        await sleep(50);
-        if (!killWhileForming()) {
-            record.add("no-group", { reason: "control-b stored no group in time" });
-            return exitNotRun;
+        deployment.signal(frozen, "SIGSTOP");
+    }
+    while (performance.now() < stoppedAt + sendingMs) {
+        if (performance.now() < stoppedAt + ownSendingMs) {
+            // Clients of the frozen entry that wait until it has woken.
+            for (let index = 0; index < ownJobsAtOnce; index++) {
+                clients.push(runClient(frozen, { ms: ownTaskMs, timeoutMs: ownDeadlineMs }));
+            }
         }
-        await waitFor(() => !deployment.isRunning("control-c"), 2_000, 5);
-        record.add("formed", { b: isFormed("control-b"), c: isFormed("control-c") });
-        await sleep(restartDelayMs);
-        deployment.start("control-c");
+        clients.push(runClient("entry-a-1"));
+        await sleep(jobPeriodMs);
     }
-    const calmFrom = record.add("calm");
-    await runner.start();
-    const configuration = newConfiguration({ version: 2, host, prefix, service });
-    const isAcknowledged = await deployment.putConfiguration(configuration, operatorLimitMs);
-    const tookMs = Math.round(record.now - calmFrom);
-    record.add("first-configuration", { acknowledged: isAcknowledged, tookMs });
-    ["control-a", "control-b", "control-c"].forEach(name => {
-        const won = readFileSync(deployment.logPath(name), "utf8").includes("control leadership won");
-        record.add("control", { name, running: deployment.isRunning(name), hasGroup: isFormed(name), hasLed: won });
-    });
-    if (!isAcknowledged) {
-        record.add("broken", { rule: "Acks", allowedMs: bounds.contact_ms + bounds.ack_ms, waitedMs: tookMs });
-        return exitBroken;
+    await sleep(freezeMs - (performance.now() - stoppedAt));
+    if (isTroubled) {
+        deployment.signal(frozen, "SIGCONT");
     }
-    await deployment.waitUntilReady("entry-a", 10_000);
+    await Promise.all(clients);
     await sleep(2_000);
-    const job = {
-        spec: JSON.stringify({ cpu: 6_800, ms: 100 }),
-        phases: [{ count: 2, cpu: 6_800, mem_mb: 64, estimate_ms: 100 }],
-        best_effort: true,
-    };
-    const answer = await call("POST", "127.36.3.4", ports.front, `${prefix}00000000000000a1`, job, {
-        headers: { "host": host, "anvilmux-deadline-ms": "1500" },
-        timeoutMs: 3_000,
-    });
-    record.add("job", { status: answer.status, body: answer.text });
-    return answer.status === 200 ? exitHeld : exitNotRun;
+    record.add("result", { doubled, jobs: jobCount, answers: Object.fromEntries(answers) });
+    return doubled > 0 ? exitBroken : exitHeld;
 };
 
 let exitCode = exitNotRun;
@@ -111,9 +154,7 @@
 catch (error) {
     record.add("not-run", { reason: error.stack });
 }
-if (runner.isUp) {
-    await runner.crash();
-}
+await Promise.all(runners.filter(runner => runner.isUp).map(runner => runner.crash()));
 await deployment.stop();
 record.add("exit", { code: exitCode });
 record.write();
