--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -42,6 +42,9 @@
         { name: "entry-a-2", role: "entry", ip: "127.36.6.5", zone: "zone-a" },
         { name: "entry-a-3", role: "entry", ip: "127.36.6.6", zone: "zone-a" },
         { name: "entry-b-1", role: "entry", ip: "127.36.6.7", zone: "zone-b" },
+        { name: "entry-b-2", role: "entry", ip: "127.36.6.8", zone: "zone-b" },
+        { name: "entry-c-1", role: "entry", ip: "127.36.6.9", zone: "zone-c" },
+        { name: "entry-c-2", role: "entry", ip: "127.36.6.10", zone: "zone-c" },
     ],
 });
 const { ports } = deployment;
@@ -111,7 +114,7 @@
     await Promise.all(runners.map(runner => runner.start()));
     await deployment.waitUntilReady(owner, 10_000);
     await sleep(2_000);
-    ["entry-a-1", frozen].forEach(name => deployment.start(name));
+    ["entry-a-1", frozen, "entry-b-2", "entry-c-1", "entry-c-2"].forEach(name => deployment.start(name));
     for (const name of ["entry-a-1", "entry-a-2", "entry-a-3", "entry-b-1"]) {
         await deployment.waitUntilReady(name, 10_000);
     }
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -38,6 +38,9 @@
         { name: "entry-a-2", role: "entry", ip: "127.36.1.5", zone: "zone-a" },
         { name: "entry-a-3", role: "entry", ip: "127.36.1.6", zone: "zone-a" },
         { name: "entry-b-1", role: "entry", ip: "127.36.1.7", zone: "zone-b" },
+        { name: "entry-b-2", role: "entry", ip: "127.36.1.8", zone: "zone-b" },
+        { name: "entry-c-1", role: "entry", ip: "127.36.1.9", zone: "zone-c" },
+        { name: "entry-c-2", role: "entry", ip: "127.36.1.10", zone: "zone-c" },
     ],
 });
 const { ports } = deployment;
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -44,6 +44,10 @@
         { name: "entry-a-1", role: "entry", ip: "127.36.2.4", zone: "zone-a" },
         { name: "entry-b-1", role: "entry", ip: "127.36.2.5", zone: "zone-b" },
         { name: "entry-c-1", role: "entry", ip: "127.36.2.6", zone: "zone-c" },
+        { name: "entry-c-2", role: "entry", ip: "127.36.2.7", zone: "zone-c" },
+        { name: "entry-c-3", role: "entry", ip: "127.36.2.8", zone: "zone-c" },
+        { name: "entry-c-4", role: "entry", ip: "127.36.2.9", zone: "zone-c" },
+        { name: "entry-c-5", role: "entry", ip: "127.36.2.10", zone: "zone-c" },
     ],
 });
 const { ports } = deployment;
