--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -27,7 +27,14 @@
 import type { Run, RunEnd } from "./RunTable";
 import { applyResubmission, newScheduledJob } from "./ScheduledJob";
 import type { ScheduledJob, ScheduledTask, TaskEvents } from "./ScheduledJob";
-import { logAbortedJob, logClosedJob, logInterruption, logStalledRun, logUnassignedRun } from "./schedulerLog";
+import {
+    logAbortedJob,
+    logClosedJob,
+    logIgnoredCancel,
+    logInterruption,
+    logStalledRun,
+    logUnassignedRun,
+} from "./schedulerLog";
 import { hasSameTasks } from "./spill";
 import { TaskPlacer } from "./TaskPlacer";
 import { TaskSpiller } from "./TaskSpiller";
@@ -183,6 +190,9 @@
         if (job?.submitter.key === submitterKey) {
             this.close(job, reason);
         }
+        else if (job) {
+            logIgnoredCancel(this.options, job, submitterKey);
+        }
     }
 
     /**
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -36,6 +36,7 @@
         task: task.request.name,
         run: task.lastRun,
         worker: session.id,
+        submitter: job.submitter.key,
         freeMillicores: session.free.millicores,
         waitedMs: Math.round(waitedMs),
         // Absent for most jobs, which bounds the volume.
@@ -151,7 +152,20 @@
     logger.info("job closed", {
         job: job.request.id,
         reason,
+        submitter: job.submitter.key,
         done: job.done,
         tasks: job.tasks.length,
         ageMs: Math.round(clock.now() - job.receivedAt),
     });
+
+/** `submitterKey`: the connection over which the job was cancelled. */
+export const logIgnoredCancel = (
+    { logger }: SchedulerLogContext,
+    job: ScheduledJob,
+    submitterKey: string,
+): void =>
+    logger.info("cancel ignored, as the job has another submitter", {
+        job: job.request.id,
+        submitter: job.submitter.key,
+        cancelledBy: submitterKey,
+    });
