--- a/packages/fleet/src/ZonePeer.ts
+++ b/packages/fleet/src/ZonePeer.ts
@@ -10,8 +10,8 @@
     readonly number: number;
     readonly send: (message: PeerMessage) => void;
     readonly close: (reason: string) => void;
-    /** Identifies the connection to the scheduler; names the peer as soon as that is known. */
-    submitterKey: string;
+    /** Identifies the connection to the scheduler, from its first message to its end. */
+    readonly submitterKey: string;
     /** The peer's latest state, and when its fitness last changed; undefined until it is reported. */
     state: Candidate | undefined;
     fitnessSince: Milliseconds;
--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -262,7 +262,7 @@
             number: this.connectionCount,
             send,
             close,
-            submitterKey: `${this.connectionCount}`,
+            submitterKey: `${openedPeerId ?? "accepted"}#${this.connectionCount}`,
             state: undefined,
             fitnessSince: this.clock.now(),
         };
@@ -282,7 +282,6 @@
                         this.options.onWorkers(selectAnnouncements(message.workers, this.options.environment.logger));
                         return;
                     case "zone-owner":
-                        connection.submitterKey = `${message.zone}/${message.id}#${connection.number}`;
                         this.remoteOwners.add(connection);
                         return;
                     default:
@@ -335,8 +334,8 @@
         const former = peer.connection;
         peer.connection = connection;
         peer.isUnreachable = false;
-        connection.submitterKey = `${peer.id}#${connection.number}`;
-        this.options.environment.logger.info("entry connected", { peer: peer.id });
+        const { submitterKey } = connection;
+        this.options.environment.logger.info("entry connected", { peer: peer.id, submitter: submitterKey });
         if (former && former !== connection) {
             former.close("replaced by a newer connection");
             this.options.onPeerDisconnected(peer.id);
--- a/packages/fleet/tests/ZonePeers.test.ts
+++ b/packages/fleet/tests/ZonePeers.test.ts
@@ -6,6 +6,8 @@
 import { getLeadingEntries, ZonePeers } from "@anvilmux/fleet";
 import type { EntryMember, PeerConnection, PeerMessage } from "@anvilmux/fleet";
 import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { newChecker, newEnvironment, newMember } from "./loopback";
 
 const cleanups: (() => void)[] = [];
@@ -16,6 +18,7 @@
     readonly disconnectedSubmitters: string[] = [];
     readonly submitted: string[] = [];
     readonly cancelled: string[] = [];
+    readonly cancelKeys: string[] = [];
     readonly withdrawn: string[] = [];
     readonly remoteAcknowledged: string[] = [];
     readonly replies: PeerMessage[] = [];
@@ -25,7 +28,7 @@
     ownerId: string | undefined;
     readonly peers: ZonePeers;
 
-    constructor(readonly member: EntryMember, port: number) {
+    constructor(readonly member: EntryMember, readonly port: number) {
         const environment = newEnvironment();
         const checker = newChecker(environment);
         this.peers = new ZonePeers({
@@ -59,6 +62,7 @@
                 return;
             case "cancel":
                 this.cancelled.push(message.id);
+                this.cancelKeys.push(submitterKey);
                 return;
             case "withdraw":
                 this.withdrawn.push(message.id);
@@ -171,6 +175,54 @@
     }, 30_000);
 });
 
+/** Accepts connections of entries and sends each of them these lines. */
+const listenWith = async (messages: readonly PeerMessage[]): Promise<{ readonly port: number; close: () => void; }> => {
+    const sockets: Socket[] = [];
+    const server = createServer(socket => {
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        socket.write(messages.map(message => `${JSON.stringify(message)}\n`).join(""));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const close = () => {
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    };
+    cleanups.push(close);
+    return { port: (server.address() as AddressInfo).port, close };
+};
+
+// An entry that replaces a connection submits its jobs again on the new one, where its state may follow.
+test(
+    "jobs that come before the state of their entry are not cancelled, and go on after the entry has gone",
+    async () => {
+        const submit: PeerMessage = { type: "submit", request: newRequest("job1"), submission: 1 };
+        const state = { type: "state", claim: 0, fitness: "ready", knownWorkers: 0 } as const;
+        const cancel: PeerMessage = { type: "cancel", id: toJobId("job1") };
+        const owner = await startEntry("b");
+        const { port, close } = await listenWith([submit, { ...state, member: newMember("a", "z1", 1) }, cancel]);
+        owner.peers.handleMembers([newMember("a", "z1", port)]);
+        await waitUntil(() => owner.cancelled.length === 1);
+        expect(owner.cancelKeys).toEqual([owner.submitterKey]);
+        close();
+        await waitUntil(() => owner.disconnectedSubmitters.length > 0);
+        expect(owner.disconnectedSubmitters).toEqual([owner.submitterKey]);
+    },
+    30_000,
+);
+
+test("jobs that come before the zone of their owner are not cancelled", async () => {
+    const owner = await startEntry("b");
+    const socket = connect({ host: "127.0.0.1", port: owner.port });
+    cleanups.push(() => socket.destroy());
+    const submit: PeerMessage = { type: "submit", request: newRequest("job1"), submission: 1 };
+    const introduction: PeerMessage = { type: "zone-owner", id: "c", zone: "z2" };
+    const cancel: PeerMessage = { type: "cancel", id: toJobId("job1") };
+    socket.write([submit, introduction, cancel].map(message => `${JSON.stringify(message)}\n`).join(""));
+    await waitUntil(() => owner.cancelled.length === 1);
+    expect(owner.cancelKeys).toEqual([owner.submitterKey]);
+}, 30_000);
+
 test("an entry announced with a port out of range ends the process at the next review", async () => {
     const entry = await startEntry("b");
     const odd = { ...newMember("a", "z1", 1), address: toAddress("127.0.0.1:99999") };
