--- /dev/null
+++ b/packages/anvilmux/src/http/callerPresence.ts
@@ -0,0 +1,30 @@
+/**
+ * Whether the caller of an HTTP request still waits for the response. A caller that has given up closes its connection, and
+ * may have sent its request again elsewhere.
+ */
+
+import { untilNextPoll } from "@anvilmux/common";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/**
+ * False when the caller has closed its connection. To be awaited between the reading of a request and its first effect: a
+ * process that did not run for a while reads requests whose callers have left since, and the end of a connection
+ * is read only after what came before it.
+ */
+export const isCallerPresent = async ({ socket }: IncomingMessage): Promise<boolean> => {
+    await untilNextPoll();
+    return !socket.readableEnded && !socket.destroyed;
+};
+
+/** Calls `listener` once if the caller closes its connection before the response is complete. */
+export const onCallerLeft = ({ socket }: IncomingMessage, response: ServerResponse, listener: () => void): void => {
+    const finish = () => {
+        socket.off("end", finish);
+        response.off("close", finish);
+        if (!response.writableEnded) {
+            listener();
+        }
+    };
+    socket.on("end", finish);
+    response.on("close", finish);
+};
--- a/packages/anvilmux/src/index.ts
+++ b/packages/anvilmux/src/index.ts
@@ -8,6 +8,7 @@
  */
 export * from "./environment";
 export * from "./errors";
+export * from "./http/callerPresence";
 export { newApp } from "./http/PublicServer";
 export * from "./Instance";
 export * from "./roles/ControlInstance";
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -14,4 +14,5 @@
 export * from "./Timers";
 export * from "./types";
 export * from "./uniqueId";
+export * from "./untilNextPoll";
 export * from "./VirtualTime";
