--- a/packages/anvilmux/src/roles/EntryMessages.ts
+++ b/packages/anvilmux/src/roles/EntryMessages.ts
@@ -47,14 +47,16 @@
         }
     }
 
-    private handleSubmit({ request, submission }: Submit, { send, submitterKey }: PeerConnection): void {
+    private handleSubmit({ request, submission }: Submit, connection: PeerConnection): void {
         const { id } = request;
+        const { send, submitterKey, whenPeerPresent } = connection;
         const answer = (jobAnswer: JobAnswer) => send({ type: "answer", id, submission, answer: jobAnswer });
         const scheduler = this.options.getScheduler();
         if (scheduler) {
             scheduler.submit(request, {
                 key: submitterKey,
                 answer,
+                whenPresent: whenPeerPresent,
                 announceRemoteTasks: () => {
                     send({ type: "away", id, submission });
                     return false;
--- a/packages/anvilmux/tests/dispatchEntry.test.ts
+++ b/packages/anvilmux/tests/dispatchEntry.test.ts
@@ -10,6 +10,9 @@
 import { ChannelChecker } from "@anvilmux/links";
 import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
 import { Metrics, newSilentLogger } from "@anvilmux/telemetry";
+import { once } from "node:events";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
 import { trustingAuthority } from "./trustingAuthority";
 
 const manifestText = JSON.stringify({
@@ -113,12 +116,13 @@
     controlPort: number,
     workers: FakeWorkers,
     entryEnvironment: Environment = environment,
+    linkPort?: number,
 ): Promise<DispatchEntry> => {
     const entry = new DispatchEntry({
         instanceId: id,
         zone: toZoneId(zone),
         host: "127.0.0.1",
-        linkPort: await findFreePort(),
+        linkPort: linkPort ?? await findFreePort(),
         controlSeeds: [toAddress(`127.0.0.1:${controlPort}`)],
         authority: trustingAuthority,
         connectWorker: () => workers.connect(),
@@ -214,6 +218,46 @@
     expect(localWorkers.starts.map(start => start.task)).toEqual(["job1.0"]);
 }, 30_000);
 
+/** Connects as the owner of another zone, and answers probes until the connection is closed. */
+const connectAsOwner = async (port: number): Promise<Socket> => {
+    const socket = connect({ host: "127.0.0.1", port });
+    cleanups.push(() => socket.destroy());
+    socket.on("error", () => undefined);
+    socket.on("data", data => {
+        const probes = data.toString().split("\n").filter(line => line === "?");
+        socket.write("\n".repeat(probes.length));
+    });
+    await once(socket, "connect");
+    return socket;
+};
+
+// An entry that did not run reads what was forwarded to it over connections that were closed since.
+test(
+    "tasks that another zone forwarded are not started when their connection was closed before they are read",
+    async () => {
+        const { hub, port } = await startControl();
+        hub.handleWorkerAnnouncement(newWorker("z1", 1_000));
+        const workers = new FakeWorkers();
+        const linkPort = await findFreePort();
+        const entry = await startEntry(toInstanceId("a"), "z1", port, workers, environment, linkPort);
+        await waitUntil(() => entry.ownerId === "a");
+        entry.accept(newJob("job0", 100), () => undefined);
+        await waitUntil(() => workers.starts.length === 1);
+        const forward = (socket: Socket, id: string): boolean => {
+            const request: JobRequest = { ...newJob(id, 100), spilled: true };
+            const messages = [{ type: "zone-owner", id: "x", zone: "z2" }, { type: "submit", request, submission: 1 }];
+            return socket.write(messages.map(message => `${JSON.stringify(message)}\n`).join(""));
+        };
+        const [closing, staying] = [await connectAsOwner(linkPort), await connectAsOwner(linkPort)];
+        forward(closing, "job1");
+        closing.destroy();
+        forward(staying, "job2");
+        await waitUntil(() => workers.starts.some(({ task }) => task === "job2.0"));
+        expect(workers.starts.map(({ task }) => task)).toEqual(["job0.0", "job2.0"]);
+    },
+    30_000,
+);
+
 test("an entry connects to announced control instances and stays connected when its seed stops", async () => {
     const addresses: Address[] = [];
     const former = await startControl(() => addresses);
--- a/packages/dispatch/src/PlacementRounds.ts
+++ b/packages/dispatch/src/PlacementRounds.ts
@@ -9,6 +9,7 @@
 import { mayHaveUnseenRuns } from "./jobTimeouts";
 import type { SchedulerView } from "./jobTimeouts";
 import type { OwnedWorkers } from "./OwnedWorkers";
+import { mayStartTasks } from "./ScheduledJob";
 import type { ScheduledJob } from "./ScheduledJob";
 import type { TaskPlacer } from "./TaskPlacer";
 import type { TaskSpiller } from "./TaskSpiller";
@@ -59,7 +60,7 @@
             if (passedOver >= maximumPassedOver) {
                 break;
             }
-            if (job.withdrawn) {
+            if (!mayStartTasks(job)) {
                 continue;
             }
             if (!this.placeTasks(job, view)) {
@@ -69,7 +70,7 @@
             jobs.prune(job);
         }
         jobs.getWaitingFromOtherZones()
-            .filter(job => job.started === 0 && !placer.hasLiveRuns(job))
+            .filter(job => job.started === 0 && job.isSubmitterPresent && !placer.hasLiveRuns(job))
             .forEach(onUnplaced);
     }
 
--- a/packages/dispatch/src/ScheduledJob.ts
+++ b/packages/dispatch/src/ScheduledJob.ts
@@ -38,6 +38,8 @@
     /** Tasks placed or forwarded so far, repeats included; a job with none can be refused. */
     started: number;
     submitter: JobSubmitter;
+    /** False while the submitter may have given the job up; none of its tasks is started. */
+    isSubmitterPresent: boolean;
     /** Whether the submitter acknowledged that tasks may run in other zones; none is forwarded before that. */
     remoteAcknowledgement: "no" | "asked" | "yes";
     /** Tasks forwarded to other zones, by zone. */
@@ -83,6 +85,7 @@
     done: 0,
     started: 0,
     submitter,
+    isSubmitterPresent: submitter.whenPresent === undefined,
     remoteAcknowledgement: "no",
     remoteTasks: new Map(),
     withdrawn: false,
@@ -106,6 +109,9 @@
     job.mayRunElsewhereUntil = Math.max(job.mayRunElsewhereUntil, getElsewhereEnd(request, now));
 };
 
+/** True while tasks of the job may be started: its submitter waits for them here, and not at another owner. */
+export const mayStartTasks = (job: ScheduledJob): boolean => job.isSubmitterPresent && !job.withdrawn;
+
 /** Marks a task as placed on a worker, where its run is ordered or already in progress. */
 export const markPlaced = (
     job: ScheduledJob,
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -155,9 +155,21 @@
         this.jobs.add(job);
         job.tasks.forEach(task => this.foundRuns.adopt(job, task));
         this.jobs.prune(job);
+        this.awaitSubmitter(job);
         this.rounds.schedule();
     }
 
+    /** Starts tasks of the job once its present submitter is known to wait for it. */
+    private awaitSubmitter(job: ScheduledJob): void {
+        const { submitter } = job;
+        submitter.whenPresent?.(() => {
+            if (job.submitter === submitter && !job.closed) {
+                job.isSubmitterPresent = true;
+                this.rounds.schedule();
+            }
+        });
+    }
+
     /** An owner with a higher claim may have had the job, and workers may list runs that it started since. */
     private checkClaim({ highestClaim = 0, spilled }: JobRequest): void {
         if (!spilled && highestClaim > this.options.getFencingToken()) {
@@ -177,6 +189,8 @@
 
     private replaceSubmitter(job: ScheduledJob, submitter: JobSubmitter): void {
         job.submitter = submitter;
+        job.isSubmitterPresent = submitter.whenPresent === undefined;
+        this.awaitSubmitter(job);
         job.withdrawn = false;
         job.remoteAcknowledgement = "no";
         if (job.remoteTasks.size > 0) {
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -58,6 +58,11 @@
     /** Identifies the connection; a submitter that reconnected has another key. */
     readonly key: string;
     readonly answer: (answer: JobAnswer) => void;
+    /**
+     * Calls the listener once it is certain that the submitter still waits: it may have given the job up long ago when its
+     * message is read late. Until then no task is started. Absent where there is no doubt.
+     */
+    readonly whenPresent?: (listener: () => void) => void;
     /**
      * Called before tasks of the job are forwarded to another zone. True when the submitter acknowledges at once;
      * otherwise it acknowledges later through the scheduler, and no task is forwarded before that.
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -119,6 +119,14 @@
         scheduler.submit(request, this.newSubmitter(request.id, submitterKey));
     }
 
+    /** Submits a job in a message that may be old; the returned function shows that the submitter still waits. */
+    submitLate(scheduler: TaskScheduler, request: JobRequest, submitterKey = "home"): () => void {
+        let show = () => undefined as void;
+        const whenPresent = (listener: () => void) => void (show = listener);
+        scheduler.submit(request, { ...this.newSubmitter(request.id, submitterKey), whenPresent });
+        return () => show();
+    }
+
     private newSubmitter(id: string, key: string): JobSubmitter {
         return {
             key,
--- a/packages/fleet/src/ZonePeer.ts
+++ b/packages/fleet/src/ZonePeer.ts
@@ -10,6 +10,8 @@
     readonly number: number;
     readonly send: (message: PeerMessage) => void;
     readonly close: (reason: string) => void;
+    /** Calls the listener once what has been received so far is certainly not outdated. */
+    readonly whenPeerPresent: (listener: () => void) => void;
     /** Identifies the connection to the scheduler, from its first message to its end. */
     readonly submitterKey: string;
     /** The peer's latest state, and when its fitness last changed; undefined until it is reported. */
--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -254,7 +254,7 @@
 
     /** `peerId` is undefined for an accepted connection, until the peer has reported its state. */
     private newSession(
-        { send, close }: LinkConnection<PeerMessage>,
+        { send, close, whenPeerPresent }: LinkConnection<PeerMessage>,
         openedPeerId: string | undefined,
     ): Session<PeerMessage> {
         this.connectionCount += 1;
@@ -262,6 +262,7 @@
             number: this.connectionCount,
             send,
             close,
+            whenPeerPresent,
             submitterKey: `${openedPeerId ?? "accepted"}#${this.connectionCount}`,
             state: undefined,
             fitnessSince: this.clock.now(),
--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -3,6 +3,10 @@
  * for a while probes its peer, which answers with an empty line, so that a failed connection is detected without a TCP
  * reset. Each end decides by itself how soon: at once while the connection is urgent, that is, while it awaits an
  * answer or a decision depends on the peer, and later otherwise.
+ *
+ * What is read after a silence can be old: this process did not run, or the network held it back. Its sender may have closed
+ * the connection since, whose end is read later. Whoever acts on a message that must not be old waits until the peer has
+ * answered a probe (`whenPeerPresent`).
  */
 
 import { getErrorMessage, safeParseJson } from "@anvilmux/common";
@@ -10,6 +14,7 @@
 import type { Socket } from "node:net";
 import { StringDecoder } from "node:string_decoder";
 import {
+    doubtfulSilenceMs,
     heartbeatPeriodMs,
     heartbeatTimeoutMs,
     idleHeartbeatPeriodMs,
@@ -44,6 +49,13 @@
     /** When the connection became urgent; undefined while it is not. */
     private urgentSince: Milliseconds | undefined;
     private closed = false;
+    private sentProbes = 0;
+    private answeredProbes = 0;
+    /** True while what was received last is recent: the peer has answered a probe, and there was no long silence since. */
+    private isPeerPresent = false;
+    /** Number of the probe that the `presenceListeners` wait for. */
+    private presenceProbe = 0;
+    private presenceListeners: (() => void)[] = [];
 
     constructor(
         private readonly socket: Socket,
@@ -76,6 +88,21 @@
         this.write(message);
     }
 
+    /**
+     * Calls `listener` as soon as it is certain that the peer still had this connection open after it sent what has been
+     * received so far: at once, or when it has answered a probe. Never, if the connection closes before.
+     */
+    whenPeerPresent(listener: () => void): void {
+        if (this.isPeerPresent) {
+            listener();
+            return;
+        }
+        if (this.presenceListeners.length === 0) {
+            this.presenceProbe = this.probe();
+        }
+        this.presenceListeners.push(listener);
+    }
+
     /** Probes the peer when due; closes the channel when nothing was received within the heartbeat timeout. */
     check(): void {
         const now = this.clock.now();
@@ -88,14 +115,14 @@
         }
         const period = isUrgent ? heartbeatPeriodMs : idleHeartbeatPeriodMs;
         if (now - Math.max(this.receivedAt, this.probedAt) >= period) {
-            this.probedAt = now;
-            this.write(`${probeLine}\n`);
+            this.probe();
         }
     }
 
     /** Restarts the heartbeat timeout of the peer; used after this process itself stalled. */
     resetHeartbeatTimeout(): void {
         this.receivedAt = this.clock.now();
+        this.doubtPeer();
     }
 
     close(reason: string): void {
@@ -107,6 +134,33 @@
         this.listener.onClose(reason);
     }
 
+    /** What is received from now on may be old, answers to earlier probes among it. */
+    private doubtPeer(): void {
+        this.isPeerPresent = false;
+        if (this.presenceListeners.length > 0) {
+            this.presenceProbe = this.probe();
+        }
+    }
+
+    /** Returns the number of the probe. */
+    private probe(): number {
+        this.probedAt = this.clock.now();
+        this.write(`${probeLine}\n`);
+        this.sentProbes += 1;
+        return this.sentProbes;
+    }
+
+    /** The peer answers probes in their order. */
+    private handleProbeAnswer(): void {
+        this.answeredProbes = Math.min(this.answeredProbes + 1, this.sentProbes);
+        if (this.presenceListeners.length > 0 && this.answeredProbes >= this.presenceProbe) {
+            const listeners = this.presenceListeners;
+            this.presenceListeners = [];
+            this.isPeerPresent = true;
+            listeners.forEach(listener => listener());
+        }
+    }
+
     private write(line: string): void {
         if (this.closed) {
             return;
@@ -131,7 +185,11 @@
     }
 
     private receive(bytes: Buffer): void {
-        this.receivedAt = this.clock.now();
+        const now = this.clock.now();
+        if (now - this.receivedAt > doubtfulSilenceMs) {
+            this.doubtPeer();
+        }
+        this.receivedAt = now;
         const lines = (this.partial + this.decoder.write(bytes)).split("\n");
         this.partial = lines.pop() ?? "";
         if (this.partial.length > maximumLineCharacters) {
@@ -139,14 +197,17 @@
             return;
         }
         for (const line of lines) {
-            if (line !== heartbeatLine && !this.closed) {
+            if (!this.closed) {
                 this.receiveLine(line);
             }
         }
     }
 
     private receiveLine(line: string): void {
-        if (line === probeLine) {
+        if (line === heartbeatLine) {
+            this.handleProbeAnswer();
+        }
+        else if (line === probeLine) {
             this.write(`${heartbeatLine}\n`);
         }
         else {
--- a/packages/links/src/constants.ts
+++ b/packages/links/src/constants.ts
@@ -7,6 +7,11 @@
 /** The same times on a connection on which neither an answer nor a decision is awaited. */
 export const idleHeartbeatPeriodMs = 1_000;
 export const idleHeartbeatTimeoutMs = 2_500;
+/**
+ * Silence after which what is received next may have been on its way, or waited to be read, for so long that its sender has
+ * given it up. Longer than the probes of an idle connection are apart.
+ */
+export const doubtfulSilenceMs = 1_250;
 /** Time between two checks of all connections. */
 export const checkPeriodMs = 100;
 /** A check that is late by more than this shows that this process itself stalled. */
--- a/packages/links/src/toLinkConnection.ts
+++ b/packages/links/src/toLinkConnection.ts
@@ -9,4 +9,5 @@
     send: message => channel.send(message),
     sendEncoded: message => channel.sendEncoded(message),
     close: reason => channel.close(reason),
+    whenPeerPresent: listener => channel.whenPeerPresent(listener),
 });
--- a/packages/links/src/types.ts
+++ b/packages/links/src/types.ts
@@ -15,6 +15,8 @@
     readonly send: (message: Outgoing) => void;
     readonly sendEncoded: (message: EncodedMessage<Outgoing>) => void;
     readonly close: (reason: string) => void;
+    /** Calls the listener once what has been received so far is certainly not outdated; see `Channel`. */
+    readonly whenPeerPresent: (listener: () => void) => void;
 }
 
 /** Begins to connect to an address; the socket emits `connect` or `error`. */
--- a/packages/links/tests/Channel.test.ts
+++ b/packages/links/tests/Channel.test.ts
@@ -4,6 +4,7 @@
 import {
     Channel,
     ChannelChecker,
+    doubtfulSilenceMs,
     heartbeatTimeoutMs,
     idleHeartbeatPeriodMs,
     idleHeartbeatTimeoutMs,
@@ -152,6 +153,85 @@
     });
 });
 
+describe("the presence of a channel's peer", () => {
+    const newWatchedFixture = () => {
+        const present: string[] = [];
+        const fixture = newFixture({
+            isUrgent: () => false,
+            onMessage: ({ text }) => fixture.channel.whenPeerPresent(() => present.push(text)),
+        });
+        const receive = (...lines: readonly string[]) =>
+            fixture.socket.emit("data", Buffer.from(lines.map(line => `${line}\n`).join("")));
+        return { ...fixture, present, receive };
+    };
+    const toLine = (text: string): string => JSON.stringify({ type: "note", text });
+
+    test("is certain after the answer to one probe, for all messages before it, and then at once", async () => {
+        const { time, socket, present, receive } = newWatchedFixture();
+        receive(toLine("a"), toLine("b"));
+        await time.advance(1);
+        expect([present, socket.written]).toEqual([[], ["?\n"]]);
+        receive("");
+        expect(present).toEqual(["a", "b"]);
+        receive(toLine("c"));
+        await time.advance(1);
+        expect([present, socket.written]).toEqual([["a", "b", "c"], ["?\n"]]);
+    });
+
+    test("is not shown by the answer to a probe that was sent before the message came", async () => {
+        const { time, socket, present, receive } = newWatchedFixture();
+        await time.advance(idleHeartbeatPeriodMs + 100);
+        receive(toLine("a"));
+        await time.advance(1);
+        expect(socket.written).toEqual(["?\n", "?\n"]);
+        receive("");
+        expect(present).toEqual([]);
+        receive("");
+        expect(present).toEqual(["a"]);
+    });
+
+    test("is not shown by lines that answer no probe", () => {
+        const { present, receive } = newWatchedFixture();
+        receive("", "", "", toLine("a"));
+        expect(present).toEqual([]);
+        receive("");
+        expect(present).toEqual(["a"]);
+    });
+
+    test("is in doubt for what comes after a silence, until a probe is answered", async () => {
+        const { time, present, receive } = newWatchedFixture();
+        receive(toLine("a"), "");
+        await time.advance(doubtfulSilenceMs - 50);
+        receive(toLine("b"));
+        expect(present).toEqual(["a", "b"]);
+        await time.advance(doubtfulSilenceMs + 50);
+        // The answers to the two probes of the idle connection may be as old as the message.
+        receive("", "", toLine("c"));
+        receive(toLine("d"));
+        expect(present).toEqual(["a", "b"]);
+        receive("");
+        expect(present).toEqual(["a", "b", "c", "d"]);
+    });
+
+    test("is in doubt after a silence that began while it was awaited", async () => {
+        const { time, present, receive } = newWatchedFixture();
+        receive(toLine("a"));
+        await time.advance(doubtfulSilenceMs + 50);
+        receive("", "");
+        expect(present).toEqual([]);
+        receive("");
+        expect(present).toEqual(["a"]);
+    });
+
+    test("is never shown once the channel is closed", async () => {
+        const { socket, present, receive } = newWatchedFixture();
+        receive(toLine("a"));
+        socket.emit("close");
+        receive("");
+        expect(present).toEqual([]);
+    });
+});
+
 /** A clock that can jump while no timer fires, as when the process stalls. */
 class StallingTime extends VirtualTime {
     private stalled = 0;
@@ -181,6 +261,9 @@
         await time.advance(100);
         expect(closed).toEqual([]);
         expect(stalls).toEqual([5_000]);
+        const present: boolean[] = [];
+        channel.whenPeerPresent(() => present.push(true));
+        expect(present).toEqual([]);
         await time.advance(1_000);
         expect(closed).toHaveLength(1);
     });
