--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -30,6 +30,7 @@
 import {
     logAbortedJob,
     logClosedJob,
+    logDoubtedSubmitter,
     logIgnoredCancel,
     logInterruption,
     logStalledRun,
@@ -168,6 +169,9 @@
                 this.rounds.schedule();
             }
         });
+        if (!job.isSubmitterPresent) {
+            logDoubtedSubmitter(this.options, job);
+        }
     }
 
     /** An owner with a higher claim may have had the job, and workers may list runs that it started since. */
--- a/packages/dispatch/src/schedulerLog.ts
+++ b/packages/dispatch/src/schedulerLog.ts
@@ -158,6 +158,9 @@
         ageMs: Math.round(clock.now() - job.receivedAt),
     });
 
+export const logDoubtedSubmitter = ({ logger }: SchedulerLogContext, job: ScheduledJob): void =>
+    logger.info("job may be old; its submitter is asked", { job: job.request.id, submitter: job.submitter.key });
+
 /** `submitterKey`: the connection over which the job was cancelled. */
 export const logIgnoredCancel = (
     { logger }: SchedulerLogContext,
