--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -256,6 +256,7 @@
                 this.election.update();
             },
             onMessage: (message, connection, peerId) => this.messages.handle(message, connection, peerId),
+            getFreeCapacity: () => this.scheduler?.getFreeCapacity() ?? {},
             getWorkers: () => this.workers.getAll(),
             onWorkers: announcements => this.handleWorkers(announcements),
             onPeerDisconnected: peerId => {
--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -11,6 +11,7 @@
 import type { ChannelChecker, LinkConnection, LinkEnvironment, OpenSocket, Session } from "@anvilmux/links";
 import { checkMessage, selectAnnouncements } from "./checkMessages";
 import type { EntryMember, PeerMessage } from "./messages";
+import { RemoteOwnerConnections } from "./RemoteOwnerConnections";
 import { newZonePeer } from "./ZonePeer";
 import type { PeerConnection, ZonePeer } from "./ZonePeer";
 import { getLeadingEntries } from "./zoneStructure";
@@ -31,6 +32,8 @@
     readonly hasOpenJobs: (peerId: string | undefined, submitterKey: string) => boolean;
     /** Called when an entry connected, disconnected or reported its state. */
     readonly onChange: () => void;
+    /** The free capacity of this zone that owners of other zones may use. */
+    readonly getFreeCapacity: () => FreeCapacity;
     readonly getWorkers: () => readonly WorkerAnnouncement[];
     readonly onWorkers: (workers: readonly WorkerAnnouncement[]) => void;
     /** Called for any other message; `peerId` is undefined for the owner of another zone. */
@@ -52,8 +55,7 @@
     private server: LinkServer<PeerMessage, PeerMessage> | undefined;
     /** Open connections on which this entry has sent its state. */
     private readonly informed = new Set<PeerConnection>();
-    /** Connections from owners of other zones. */
-    private readonly remoteOwners = new Set<PeerConnection>();
+    private readonly remoteOwners: RemoteOwnerConnections;
     /** The owner and the leading entries, which detect each other's failures soon. */
     private central: ReadonlySet<string> = new Set();
     private reportedOwner: EntryMember | undefined;
@@ -63,6 +65,8 @@
 
     constructor(private readonly options: ZonePeersOptions) {
         this.clock = options.environment.clock;
+        const { environment: { logger }, getFreeCapacity } = options;
+        this.remoteOwners = new RemoteOwnerConnections({ logger, getFreeCapacity });
     }
 
     async start(): Promise<void> {
@@ -148,7 +152,7 @@
 
     /** Reports the free capacity of this zone to the owners of other zones. */
     announceFreeCapacity(free: FreeCapacity): void {
-        this.remoteOwners.forEach(connection => connection.send({ type: "room", free }));
+        this.remoteOwners.announce(free);
     }
 
     private determineNeededPeers(): ReadonlySet<string> {
@@ -283,7 +287,7 @@
                         this.options.onWorkers(selectAnnouncements(message.workers, this.options.environment.logger));
                         return;
                     case "zone-owner":
-                        this.remoteOwners.add(connection);
+                        this.remoteOwners.add(message, connection);
                         return;
                     default:
                         this.options.onMessage(message, connection, peerId);
@@ -344,7 +348,7 @@
     }
 
     private handleClosed(connection: PeerConnection, peerId: string | undefined, reason: string): void {
-        this.remoteOwners.delete(connection);
+        this.remoteOwners.remove(connection);
         this.informed.delete(connection);
         if (this.isStopped) {
             return;
--- a/packages/fleet/tests/ZonePeers.test.ts
+++ b/packages/fleet/tests/ZonePeers.test.ts
@@ -2,7 +2,7 @@
 
 import { toAddress, toJobId } from "@anvilmux/common";
 import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
-import type { JobRequest } from "@anvilmux/dispatch";
+import type { FreeCapacity, JobRequest } from "@anvilmux/dispatch";
 import { getLeadingEntries, ZonePeers } from "@anvilmux/fleet";
 import type { EntryMember, PeerConnection, PeerMessage } from "@anvilmux/fleet";
 import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
@@ -25,6 +25,7 @@
     submitterKey = "";
     reply: (message: PeerMessage) => void = () => undefined;
     claim = 0;
+    free: FreeCapacity = {};
     ownerId: string | undefined;
     readonly peers: ZonePeers;
 
@@ -41,6 +42,7 @@
             getOwnerId: () => this.ownerId,
             hasOpenJobs: () => false,
             onChange: () => undefined,
+            getFreeCapacity: () => this.free,
             getWorkers: () => [],
             onWorkers: () => undefined,
             onMessage: (message, connection) => this.receive(message, connection),
@@ -223,6 +225,19 @@
     expect(owner.cancelKeys).toEqual([owner.submitterKey]);
 }, 30_000);
 
+// Free capacity was reported only when it changed, and that of an idle zone may not change for long.
+test("the owner of another zone that connects later does not learn of the free capacity of an idle zone", async () => {
+    const owner = await startEntry("b");
+    owner.free = { desk: [16_000] };
+    const received: string[] = [];
+    const socket = connect({ host: "127.0.0.1", port: owner.port });
+    cleanups.push(() => socket.destroy());
+    socket.on("data", data => received.push(...data.toString().split("\n")));
+    socket.write(`${JSON.stringify({ type: "zone-owner", id: "c", zone: "z2" })}\n`);
+    await waitUntil(() => received.some(line => line.startsWith("{")));
+    expect(received).toContain(JSON.stringify({ type: "room", free: owner.free }));
+}, 30_000);
+
 test("an entry announced with a port out of range ends the process at the next review", async () => {
     const entry = await startEntry("b");
     const odd = { ...newMember("a", "z1", 1), address: toAddress("127.0.0.1:99999") };
--- a/packages/fleet/tests/oddMessages.test.ts
+++ b/packages/fleet/tests/oddMessages.test.ts
@@ -142,6 +142,7 @@
         getOwnerId: () => undefined,
         hasOpenJobs: () => false,
         onChange: () => undefined,
+        getFreeCapacity: () => ({}),
         getWorkers: () => [],
         onWorkers: workers => received.workers.push(...workers),
         onMessage: message => received.messages.push(message),
--- a/packages/fleet/tests/simulation/SimulatedZoneEntry.ts
+++ b/packages/fleet/tests/simulation/SimulatedZoneEntry.ts
@@ -73,6 +73,7 @@
             getOwnerId: () => plantedFault === "owner-connects-to-nobody" ? undefined : this.election.ownerId,
             hasOpenJobs: () => false,
             onChange: () => this.election.update(),
+            getFreeCapacity: () => ({}),
             getWorkers: () => [],
             onWorkers: () => undefined,
             onMessage: () => undefined,
