--- a/packages/fleet/src/OwnerLinks.ts
+++ b/packages/fleet/src/OwnerLinks.ts
@@ -20,6 +20,7 @@
 interface RemoteOwner {
     owner: ZoneOwner;
     readonly link: Link<FromPeer, ToPeer>;
+    /** As reported on the present connection; none before, as nobody may be there to take tasks. */
     free: FreeCapacity;
 }
 
@@ -70,11 +71,13 @@
             onMessage: message => this.receive(zone, message),
             isUrgent: this.options.hasRemoteTasks,
             onClose: reason => {
+                remote.free = {};
                 environment.logger.warn("owner of another zone disconnected", { toZone: zone, reason });
                 this.options.onOwnerDisconnected(zone);
             },
         });
-        this.remotes.set(zone, { owner, link, free: {} });
+        const remote: RemoteOwner = { owner, link, free: {} };
+        this.remotes.set(zone, remote);
     }
 
     private receive(zone: string, message: FromPeer): void {
