--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./ids";
 export * from "./MemoryFiles";
 export * from "./Mutex";
+export * from "./PauseDetector";
 export * from "./Random";
 export * from "./rendezvous";
 export * from "./safeParseJson";
--- a/packages/dispatch/src/OwnershipPeriod.ts
+++ b/packages/dispatch/src/OwnershipPeriod.ts
@@ -3,17 +3,18 @@
  * workers' lists.
  */
 
+import { PauseDetector } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import { ownershipDoubtMs } from "./constants";
 
 export class OwnershipPeriod {
     private begunAt: Milliseconds;
-    private confirmedAt: Milliseconds;
+    private readonly pauses: PauseDetector;
 
     /** `onInterrupted` is called when this process did not run for so long that another owner may have taken its place. */
     constructor(private readonly clock: Clock, private readonly onInterrupted: (pausedMs: Milliseconds) => void) {
         this.begunAt = clock.now();
-        this.confirmedAt = this.begunAt;
+        this.pauses = new PauseDetector(clock, ownershipDoubtMs);
     }
 
     /** Begins anew, as another owner may have started runs until now. */
@@ -23,10 +24,8 @@
 
     /** Its beginning; to be called at short intervals, as a longer one shows that the process did not run. */
     confirm(): Milliseconds {
-        const now = this.clock.now();
-        const pausedMs = now - this.confirmedAt;
-        this.confirmedAt = now;
-        if (pausedMs > ownershipDoubtMs) {
+        const pausedMs = this.pauses.check();
+        if (pausedMs !== undefined) {
             this.onInterrupted(pausedMs);
         }
         return this.begunAt;
--- a/packages/links/src/ChannelChecker.ts
+++ b/packages/links/src/ChannelChecker.ts
@@ -3,6 +3,7 @@
  * runs late, this process itself stalled; the heartbeat timeouts of all channels then restart.
  */
 
+import { PauseDetector } from "@anvilmux/common";
 import type { Clock, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
 import { checkPeriodMs, stallThresholdMs } from "./constants";
 
@@ -14,15 +15,15 @@
 
 export class ChannelChecker {
     private readonly channels = new Set<CheckedChannel>();
-    private lastCheckAt: Milliseconds;
+    private readonly pauses: PauseDetector;
     private readonly unsubscribe: Unsubscribe;
 
     constructor(
-        private readonly clock: Clock,
+        clock: Clock,
         timers: Timers,
         private readonly onStall: (stall: Milliseconds) => void,
     ) {
-        this.lastCheckAt = clock.now();
+        this.pauses = new PauseDetector(clock, checkPeriodMs + stallThresholdMs);
         this.unsubscribe = timers.every(checkPeriodMs, () => this.checkChannels());
     }
 
@@ -35,12 +36,10 @@
     }
 
     private checkChannels(): void {
-        const now = this.clock.now();
-        const stall = now - this.lastCheckAt - checkPeriodMs;
-        this.lastCheckAt = now;
-        if (stall > stallThresholdMs) {
+        const pausedMs = this.pauses.check();
+        if (pausedMs !== undefined) {
             this.channels.forEach(channel => channel.resetHeartbeatTimeout());
-            this.onStall(stall);
+            this.onStall(pausedMs - checkPeriodMs);
         }
         for (const channel of this.channels) {
             if (channel.isOpen) {
