--- a/packages/dispatch/src/ZoneElection.ts
+++ b/packages/dispatch/src/ZoneElection.ts
@@ -1,9 +1,12 @@
 /**
  * Elects the owner of the zone's workers: the entry with the highest ownership claim among the connected ones. When no
  * connected entry has a claim, the fittest one claims ownership, and among equals the one with the smallest id. Claims
- * are fencing tokens, so when entries disagree, each worker obeys the highest token that it has seen.
+ * are fencing tokens, so when entries disagree, each worker obeys the highest token that it has seen. After a pause of this
+ * process the connections that it knows of may have ended, and another entry may own the workers; it claims only after it had
+ * time to hear of that one.
  */
 
+import { PauseDetector } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import type { Logger } from "@anvilmux/telemetry";
 import { connectedElectionSettlingMs, electionSettlingMs } from "./constants";
@@ -49,6 +52,10 @@
 /** Time an isolated entry waits before it claims, and after it had to yield. */
 const isolatedClaimDelayMs = 1_500;
 const isolatedYieldMs = 3_000;
+/** A pause of this process after which other entries may have closed their connections to it. */
+const shortestPauseMs = 600;
+/** Longest time an entry waits to be connected again after such a pause before it claims: a failed attempt and the next. */
+const resumedClaimDelayMs = 1_500;
 /** Time in which the owner whose token a worker accepted should announce itself, before this entry raises its own. */
 const fencedTimeoutMs = 250;
 
@@ -63,8 +70,13 @@
     private releasedAt: Milliseconds | undefined;
     /** When a worker first refused the current claim. */
     private fencedSince: Milliseconds | undefined;
+    private readonly pauses: PauseDetector;
+    /** When this process ran again after its last pause. */
+    private resumedAt: Milliseconds | undefined;
 
-    constructor(private readonly options: ZoneElectionOptions) {}
+    constructor(private readonly options: ZoneElectionOptions) {
+        this.pauses = new PauseDetector(options.clock, shortestPauseMs);
+    }
 
     /** This entry's claim; 0 when it has none. */
     get claim(): number {
@@ -86,6 +98,10 @@
 
     /** Re-evaluates ownership; called periodically and when the connected entries change. */
     update(): void {
+        if (this.pauses.check() !== undefined) {
+            this.resumedAt = this.options.clock.now();
+            this.ownerlessSince = undefined;
+        }
         const candidates = this.options.getCandidates();
         this.recordHighestClaim(candidates);
         const highest = getHighestClaimant(candidates);
@@ -181,15 +197,24 @@
         return ranks[this.options.getFitness()];
     }
 
-    /** No delay after a known owner disconnects; a delay at the start, as other entries may still be joining. */
+    /** No delay after a known owner disconnects; a delay at the start and after a pause, as others may still be joining. */
     private getClaimDelay(): Milliseconds {
         if (this.options.isIsolated()) {
             return isolatedClaimDelayMs;
         }
-        if (this.highestSeenClaim > 0) {
+        const isResuming = this.isResuming();
+        if (this.highestSeenClaim > 0 && !isResuming) {
             return 0;
         }
-        return this.options.areNeededEntriesConnected() ? connectedElectionSettlingMs : electionSettlingMs;
+        if (this.options.areNeededEntriesConnected()) {
+            return connectedElectionSettlingMs;
+        }
+        return isResuming ? resumedClaimDelayMs : electionSettlingMs;
+    }
+
+    /** What is known of the connected entries may be from before a pause. */
+    private isResuming(): boolean {
+        return this.resumedAt !== undefined && this.options.clock.now() - this.resumedAt < resumedClaimDelayMs;
     }
 
     private setClaim(claim: number, reason: string): void {
--- a/packages/fleet/tests/zoneElection.test.ts
+++ b/packages/fleet/tests/zoneElection.test.ts
@@ -8,6 +8,8 @@
 const agreementLimitMs = 6_000;
 /** Time within which the loss of an owner has to be repaired. */
 const takeoverLimitMs = 1_000;
+/** The same where every entry was paused at the time: first each has to try to connect to the others, twice. */
+const resumptionLimitMs = 2_000;
 const ordinaryConnections = 3;
 
 const startZone = async (seed: number, size: number, plantedFault?: PlantedFault): Promise<ZoneSimulation> => {
@@ -59,6 +61,53 @@
     });
 });
 
+// An entry that wakes reads the ends of its connections first, and hears of the owner only when it is connected again.
+describe("an entry that runs again after a pause claims the workers beside their owner", () => {
+    const pauseMs = 4_000;
+
+    const expectOneOwner = async (simulation: ZoneSimulation, pausedIndex: number): Promise<void> => {
+        const owner = simulation.commonOwner!;
+        const claims = simulation.claims.length;
+        const paused = simulation.running.filter(({ id }) => id !== owner)[pausedIndex]!;
+        paused.isFrozen = true;
+        await simulation.time.advance(pauseMs);
+        paused.isFrozen = false;
+        await simulation.time.advance(pauseMs);
+        expect([simulation.commonOwner, simulation.claims.length]).toEqual([owner, claims]);
+    };
+
+    test.each([0, 1, 2, 6])("entry %i of those that come after the owner", async index => {
+        await expectOneOwner(await startZone(5, 8), index);
+    });
+
+    test.each([0, 1, 2])("entry %i of those that come before the owner", async index => {
+        const simulation = await startZone(5, 8);
+        const first = ["entry-00", "entry-01", "entry-02"].map(id => simulation.getMachine(id));
+        first.forEach(machine => simulation.kill(machine));
+        await simulation.time.advance(2_000);
+        first.forEach(machine => simulation.restartLater(machine));
+        await simulation.time.advance(6_000);
+        expect(simulation.commonOwner).toBe("entry-03");
+        await expectOneOwner(simulation, index);
+    });
+
+    test("while control is down", async () => {
+        const simulation = await startZone(5, 8);
+        simulation.stopControl();
+        await expectOneOwner(simulation, 0);
+    });
+});
+
+test("a zone of which every entry was paused has an owner again soon, though its owner was lost meanwhile", async () => {
+    const simulation = await startZone(5, 8);
+    const paused = simulation.running;
+    paused.forEach(machine => machine.isFrozen = true);
+    await simulation.time.advance(4_000);
+    simulation.kill(simulation.getMachine("entry-00"));
+    paused.forEach(machine => machine.isFrozen = false);
+    expect(await simulation.awaitOwner("entry-00", resumptionLimitMs)).toBeLessThanOrEqual(resumptionLimitMs);
+});
+
 test("after a long quiet time, and a change in the zone, an entry still knows those that it is not connected to", async () => {
     const simulation = await startZone(1, 8);
     await simulation.time.advance(65_000);
