--- a/packages/fleet/tests/ZonePeers.test.ts
+++ b/packages/fleet/tests/ZonePeers.test.ts
@@ -164,6 +164,15 @@
         expect(first.replies).toEqual([{ type: "worker-answer", number: 7, answer: true }]);
     }, 30_000);
 
+    // An entry that ends cancels its jobs, and closes its connections in the same turn of the event loop.
+    test("the cancel of a job is not lost when its entry stops", async () => {
+        const [first, second] = await startPair();
+        first.peers.send("b", { type: "cancel", id: toJobId("job1") });
+        first.peers.stop();
+        await waitUntil(() => second.disconnectedPeers.includes("a"));
+        expect(second.cancelled).toEqual(["job1"]);
+    }, 30_000);
+
     test("a stopped entry is detected at both ends of its connections", async () => {
         const [first, second] = await startPair();
         first.peers.send("b", { type: "submit", request: newRequest("job1"), submission: 1 });
--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -125,6 +125,15 @@
         this.doubtPeer();
     }
 
+    /** Closes the channel after what was sent has been handed to the system, for a process that ends. */
+    finish(reason: string): void {
+        if (this.unsent.length > 0) {
+            this.flush();
+        }
+        this.close(reason);
+    }
+
+    /** Closes the channel; messages of this turn of the event loop are dropped. */
     close(reason: string): void {
         if (this.closed) {
             return;
--- a/packages/links/src/Link.ts
+++ b/packages/links/src/Link.ts
@@ -61,7 +61,7 @@
     stop(): void {
         this.stopped = true;
         this.cancelReconnect();
-        this.channel?.close("stopped");
+        this.channel?.finish("stopped");
     }
 
     private connect(): void {
--- a/packages/links/src/LinkServer.ts
+++ b/packages/links/src/LinkServer.ts
@@ -56,7 +56,7 @@
 
     close(): void {
         this.server.close();
-        [...this.channels].forEach(channel => channel.close("stopped"));
+        [...this.channels].forEach(channel => channel.finish("stopped"));
     }
 
     private accept(socket: Socket): void {
--- a/packages/links/tests/Channel.test.ts
+++ b/packages/links/tests/Channel.test.ts
@@ -63,6 +63,18 @@
         expect(received.map(message => message.text)).toEqual(["ä", "b"]);
     });
 
+    test("what was sent in the same turn is written before a channel finishes, and dropped when it is closed", async () => {
+        const [finished, closed] = [newFixture(), newFixture()];
+        finished.channel.send({ type: "note", text: "a" });
+        finished.channel.finish("stopped");
+        closed.channel.send({ type: "note", text: "a" });
+        closed.channel.close("silent");
+        await finished.time.advance(1);
+        expect(finished.socket.written).toEqual(["{\"type\":\"note\",\"text\":\"a\"}\n"]);
+        expect([finished.socket.destroyed, finished.closed]).toEqual([true, ["stopped"]]);
+        expect(closed.socket.written).toEqual([]);
+    });
+
     test("an urgent channel probes its peer, and is closed once when it receives nothing", async () => {
         const { time, socket, closed, channel } = newFixture();
         await time.advance(heartbeatTimeoutMs - 100);
