--- a/packages/fleet/tests/ZonePeers.test.ts
+++ b/packages/fleet/tests/ZonePeers.test.ts
@@ -6,9 +6,8 @@
 import { getLeadingEntries, ZonePeers } from "@anvilmux/fleet";
 import type { EntryMember, PeerConnection, PeerMessage } from "@anvilmux/fleet";
 import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
-import { connect, createServer } from "node:net";
-import type { AddressInfo, Socket } from "node:net";
 import { newChecker, newEnvironment, newMember } from "./loopback";
+import { dialRaw, listenRaw } from "./rawPeers";
 
 const cleanups: (() => void)[] = [];
 afterEach(() => cleanups.splice(0).reverse().forEach(cleanup => cleanup()));
@@ -186,22 +185,8 @@
     }, 30_000);
 });
 
-/** Accepts connections of entries and sends each of them these lines. */
-const listenWith = async (messages: readonly PeerMessage[]): Promise<{ readonly port: number; close: () => void; }> => {
-    const sockets: Socket[] = [];
-    const server = createServer(socket => {
-        sockets.push(socket);
-        socket.on("error", () => undefined);
-        socket.write(messages.map(message => `${JSON.stringify(message)}\n`).join(""));
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const close = () => {
-        sockets.forEach(socket => socket.destroy());
-        server.close();
-    };
-    cleanups.push(close);
-    return { port: (server.address() as AddressInfo).port, close };
-};
+const toLines = (messages: readonly PeerMessage[]): readonly string[] =>
+    messages.map(message => JSON.stringify(message));
 
 // An entry that replaces a connection submits its jobs again on the new one, where its state may follow.
 test(
@@ -211,11 +196,14 @@
         const state = { type: "state", claim: 0, fitness: "ready", knownWorkers: 0 } as const;
         const cancel: PeerMessage = { type: "cancel", id: toJobId("job1") };
         const owner = await startEntry("b");
-        const { port, close } = await listenWith([submit, { ...state, member: newMember("a", "z1", 1) }, cancel]);
+        const port = await findFreePort();
+        const entries = await listenRaw(port, cleanups);
         owner.peers.handleMembers([newMember("a", "z1", port)]);
+        await waitUntil(() => entries.length === 1);
+        entries[0]!.send(...toLines([submit, { ...state, member: newMember("a", "z1", 1) }, cancel]));
         await waitUntil(() => owner.cancelled.length === 1);
         expect(owner.cancelKeys).toEqual([owner.submitterKey]);
-        close();
+        entries[0]!.close();
         await waitUntil(() => owner.disconnectedSubmitters.length > 0);
         expect(owner.disconnectedSubmitters).toEqual([owner.submitterKey]);
     },
@@ -224,12 +212,10 @@
 
 test("jobs that come before the zone of their owner are not cancelled", async () => {
     const owner = await startEntry("b");
-    const socket = connect({ host: "127.0.0.1", port: owner.port });
-    cleanups.push(() => socket.destroy());
     const submit: PeerMessage = { type: "submit", request: newRequest("job1"), submission: 1 };
     const introduction: PeerMessage = { type: "zone-owner", id: "c", zone: "z2" };
     const cancel: PeerMessage = { type: "cancel", id: toJobId("job1") };
-    socket.write([submit, introduction, cancel].map(message => `${JSON.stringify(message)}\n`).join(""));
+    dialRaw(owner.port, cleanups).send(...toLines([submit, introduction, cancel]));
     await waitUntil(() => owner.cancelled.length === 1);
     expect(owner.cancelKeys).toEqual([owner.submitterKey]);
 }, 30_000);
@@ -238,13 +224,10 @@
 test("the owner of another zone that connects later does not learn of the free capacity of an idle zone", async () => {
     const owner = await startEntry("b");
     owner.free = { desk: [16_000] };
-    const received: string[] = [];
-    const socket = connect({ host: "127.0.0.1", port: owner.port });
-    cleanups.push(() => socket.destroy());
-    socket.on("data", data => received.push(...data.toString().split("\n")));
-    socket.write(`${JSON.stringify({ type: "zone-owner", id: "c", zone: "z2" })}\n`);
-    await waitUntil(() => received.some(line => line.startsWith("{")));
-    expect(received).toContain(JSON.stringify({ type: "room", free: owner.free }));
+    const other = dialRaw(owner.port, cleanups);
+    other.send(...toLines([{ type: "zone-owner", id: "c", zone: "z2" }]));
+    await waitUntil(() => other.received.some(line => line.startsWith("{")));
+    expect(other.received).toContain(JSON.stringify({ type: "room", free: owner.free }));
 }, 30_000);
 
 test("an entry announced with a port out of range ends the process at the next review", async () => {
--- a/packages/fleet/tests/loopback.ts
+++ b/packages/fleet/tests/loopback.ts
@@ -2,10 +2,12 @@
 
 import { newSystemClock, newSystemTimers, toAddress, toInstanceId, toZoneId } from "@anvilmux/common";
 import type { Address } from "@anvilmux/common";
+import { OwnerLinks } from "@anvilmux/fleet";
 import type { EntryMember } from "@anvilmux/fleet";
 import { ChannelChecker } from "@anvilmux/links";
 import type { LinkEnvironment } from "@anvilmux/links";
 import { newSilentLogger } from "@anvilmux/telemetry";
+import type { Cleanups } from "./rawPeers";
 
 export const newEnvironment = (): LinkEnvironment => ({
     clock: newSystemClock(),
@@ -24,3 +26,20 @@
     zone: toZoneId(zone),
     address: toLoopback(port),
 });
+
+/** What the owner of zone z1 knows of the owner of zone z2, which listens on `port`. */
+export const newOwnerLinks = (port: number, cleanups: Cleanups): OwnerLinks => {
+    const environment = newEnvironment();
+    const checker = newChecker(environment);
+    const links = new OwnerLinks({
+        self: newMember("a", "z1", 1),
+        checker,
+        environment,
+        onAnswer: () => undefined,
+        onOwnerDisconnected: () => undefined,
+        hasRemoteTasks: () => false,
+    });
+    cleanups.push(() => checker.stop(), () => links.stop());
+    links.handleOwners([{ member: newMember("b", "z2", port), claim: 1 }]);
+    return links;
+};
--- a/packages/fleet/tests/oddMessages.test.ts
+++ b/packages/fleet/tests/oddMessages.test.ts
@@ -6,50 +6,20 @@
 import { toAddress, toZoneId } from "@anvilmux/common";
 import { toWorkerId } from "@anvilmux/dispatch";
 import type { WorkerAnnouncement } from "@anvilmux/dispatch";
-import { ControlHub, ControlLinks, OwnerLinks, ZonePeers } from "@anvilmux/fleet";
+import { ControlHub, ControlLinks, ZonePeers } from "@anvilmux/fleet";
 import type { EntryMember, PeerMessage, ZoneOwner } from "@anvilmux/fleet";
 import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
 import { Metrics } from "@anvilmux/telemetry";
-import { connect, createServer } from "node:net";
-import type { Socket } from "node:net";
-import { newChecker, newEnvironment, newMember, toLoopback } from "./loopback";
+import { newChecker, newEnvironment, newMember, newOwnerLinks, toLoopback } from "./loopback";
+import { dialRaw, listenRaw } from "./rawPeers";
+import type { RawPeer } from "./rawPeers";
 
 const cleanups: (() => void)[] = [];
 afterEach(() => cleanups.splice(0).reverse().forEach(cleanup => cleanup()));
 
 const nested = (depth: number): string => "[".repeat(depth) + "]".repeat(depth);
 
-/** A peer that sends raw lines. */
-class RawPeer {
-    closed = false;
-
-    constructor(private readonly socket: Socket) {
-        socket.on("data", data => this.receive(String(data).split("\n")));
-        socket.on("error", () => undefined);
-        socket.on("close", () => this.closed = true);
-        cleanups.push(() => socket.destroy());
-    }
-
-    /** A probe is answered, so that only an odd message closes the connection. */
-    private receive(lines: readonly string[]): void {
-        lines.filter(line => line === "?").forEach(() => this.send(""));
-    }
-
-    send(...lines: readonly string[]): void {
-        this.socket.write(lines.map(line => `${line}\n`).join(""));
-    }
-}
-
-const dial = (port: number): RawPeer => new RawPeer(connect(port, "127.0.0.1"));
-
-/** A server whose connections are raw peers, the latest last. */
-const listenRaw = async (port: number): Promise<readonly RawPeer[]> => {
-    const peers: RawPeer[] = [];
-    const server = createServer(socket => peers.push(new RawPeer(socket)));
-    cleanups.push(() => server.close());
-    await new Promise<void>(resolve => server.listen(port, "127.0.0.1", resolve));
-    return peers;
-};
+const dial = (port: number): RawPeer => dialRaw(port, cleanups);
 
 const newWorker = (id: string): WorkerAnnouncement => ({
     id: toWorkerId(id),
@@ -184,7 +154,7 @@
 describe("an entry that control sends", () => {
     test("odd workers among good ones follows none of the others", async () => {
         const port = await findFreePort();
-        const control = await listenRaw(port);
+        const control = await listenRaw(port, cleanups);
         const { received } = newEntry(port);
         await waitUntil(() => control.length === 1);
         control[0]!.send(listWorkers("workers"), "{\"type\":\"configuration\",\"index\":4,\"envelope\":\"\"}");
@@ -194,7 +164,7 @@
 
     test("odd members, owners and control addresses among good ones follows none of the others", async () => {
         const port = await findFreePort();
-        const control = await listenRaw(port);
+        const control = await listenRaw(port, cleanups);
         const { received, links } = newEntry(port);
         await waitUntil(() => control.length === 1);
         const odd = ["null", "7", "{}", nested(5_000), member.replace(":2\"", ":99999\"")];
@@ -214,7 +184,7 @@
         "a configuration of index %s takes no other after that",
         async index => {
             const port = await findFreePort();
-            const control = await listenRaw(port);
+            const control = await listenRaw(port, cleanups);
             const { received } = newEntry(port);
             await waitUntil(() => control.length === 1);
             control[0]!.send(`{"type":"configuration","index":${index},"envelope":""}`);
@@ -285,20 +255,9 @@
 test.each(["null", "7", "{\"s\":null}", "{\"s\":[\"x\"]}", "{\"s\":[1e999]}", nested(5_000)])(
     "an owner of another zone that reports odd room ends the process at the next placement: case %#",
     async free => {
-        const environment = newEnvironment();
-        const checker = newChecker(environment);
         const port = await findFreePort();
-        const remote = await listenRaw(port);
-        const links = new OwnerLinks({
-            self: newMember("a", "z1", 1),
-            checker,
-            environment,
-            onAnswer: () => undefined,
-            onOwnerDisconnected: () => undefined,
-            hasRemoteTasks: () => false,
-        });
-        cleanups.push(() => checker.stop(), () => links.stop());
-        links.handleOwners([{ member: newMember("b", "z2", port), claim: 1 }]);
+        const remote = await listenRaw(port, cleanups);
+        const links = newOwnerLinks(port, cleanups);
         await waitUntil(() => remote.length === 1);
         remote[0]!.send(`{"type":"room","free":${free}}`);
         await waitUntil(() => remote[0]!.closed);
