--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -272,6 +272,8 @@
             fitnessSince: this.clock.now(),
         };
         let peerId = openedPeerId;
+        // Asked now, so that the first job that comes over the connection need not wait for an answer.
+        whenPeerPresent(() => undefined);
         if (openedPeerId !== undefined) {
             this.sendState(connection);
         }
