--- a/packages/links/tests/Channel.test.ts
+++ b/packages/links/tests/Channel.test.ts
@@ -2,6 +2,7 @@
 
 import { VirtualTime } from "@anvilmux/common";
 import {
+    catchUpMs,
     Channel,
     ChannelChecker,
     doubtfulSilenceMs,
@@ -267,10 +268,14 @@
             onMessage: () => undefined,
             onClose: reason => closed.push(reason),
         });
-        new ChannelChecker(time, time, stall => stalls.push(Math.round(stall))).add(channel);
+        const checker = new ChannelChecker(time, time, stall => stalls.push(Math.round(stall)));
+        checker.add(channel);
         await time.advance(100);
+        expect(checker.mayInputBeOld).toBe(false);
         time.stall(5_000);
+        expect(checker.mayInputBeOld).toBe(true);
         await time.advance(100);
+        expect(checker.mayInputBeOld).toBe(true);
         expect(closed).toEqual([]);
         expect(stalls).toEqual([5_000]);
         const present: boolean[] = [];
@@ -278,5 +283,7 @@
         expect(present).toEqual([]);
         await time.advance(1_000);
         expect(closed).toHaveLength(1);
+        await time.advance(catchUpMs);
+        expect(checker.mayInputBeOld).toBe(false);
     });
 });
