--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -182,7 +182,11 @@
             return;
         }
         this.jobs.delete(id);
-        this.options.logger.info("caller disconnected", { job: id });
+        this.options.logger.info("caller disconnected", {
+            job: id,
+            owners: job.owners.size,
+            ageMs: Math.round(this.options.clock.now() - job.arrivedAt),
+        });
         this.cancelAtOwners(job);
     }
 
--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -5,6 +5,7 @@
 import { PendingJobs } from "@anvilmux/dispatch";
 import type { JobAnswer, JobRequest, OwnerLink } from "@anvilmux/dispatch";
 import { Metrics, newSilentLogger } from "@anvilmux/telemetry";
+import type { LogFields, Logger } from "@anvilmux/telemetry";
 
 class PendingJobsFixture {
     readonly time = new VirtualTime();
@@ -14,6 +15,7 @@
     readonly cancelledAt: string[] = [];
     readonly withdrawnAt: string[] = [];
     readonly answers = new Map<string, JobAnswer>();
+    readonly lines: (LogFields & { readonly message: string; })[] = [];
     ownerId: string | undefined = "owner-1";
     highestClaim = 0;
     readonly pendingJobs = new PendingJobs({
@@ -21,7 +23,7 @@
         getHighestClaim: () => this.highestClaim,
         clock: this.time,
         timers: this.time,
-        logger: newSilentLogger(),
+        logger: this.newLogger(),
         metrics: new Metrics(),
     });
 
@@ -35,6 +37,10 @@
         this.pendingJobs.handleOwnerChange();
     }
 
+    private newLogger(): Logger {
+        return { ...newSilentLogger(), info: (message, fields) => this.lines.push({ ...fields, message }) };
+    }
+
     private getOwner(): OwnerLink | undefined {
         const id = this.ownerId;
         return id === undefined ? undefined : {
@@ -64,6 +70,15 @@
 const refusal: JobAnswer = { kind: "refused", reason: "no room in time", retryAfterMs: 1_000 };
 
 describe("pending jobs", () => {
+    test("the log tells for how long a job was here, and how many owners had it, when its caller left", async () => {
+        const fixture = new PendingJobsFixture();
+        const leave = fixture.accept("a");
+        await fixture.time.advance(300);
+        fixture.changeOwner("owner-2");
+        leave();
+        expect(fixture.lines).toEqual([{ message: "caller disconnected", job: "a", owners: 2, ageMs: 300 }]);
+    });
+
     test("a job is resubmitted to the next owner, marked as resubmitted and with its remaining time", async () => {
         const fixture = new PendingJobsFixture();
         fixture.accept("a");
