Look for callers that have left before any request has an effect, with one wait for all requests of a turn

What callers saw: the network held their requests back for longer than they wait.

Cause: since an entry looks for the end of a caller's connection only after a pause of its own process. A request can be as old without one, and nothing in it or on its connection tells.

Evidence: FrontServer.test.ts fails before (a job whose request and end of connection arrive together is accepted while no pause was noticed); its stand-in no longer says that requests may be old, and there is no such question any more. The assertions of Channel.test.ts on mayInputBeOld go with the property; the rule they served now holds for every request.

Now requests of one turn share one wait, and the rounds of placement and writes that follow are not put off to yet another turn (turns.ts).

--- a/packages/anvilmux/src/http/callerPresence.ts
+++ b/packages/anvilmux/src/http/callerPresence.ts
@@ -7,9 +7,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 
 /**
- * False when the caller has closed its connection. To be awaited between the reading of a request that may be old and its
- * first effect: a process that did not run for a while reads requests whose callers have left since, and the end of a
- * connection is read only after what came before it.
+ * False when the caller has closed its connection. To be awaited between the reading of a request and its first effect: a
+ * request may have waited for this process, or in the network, for longer than its caller did, and the end of a connection
+ * is read only after what came before it.
  */
 export const isCallerPresent = async ({ socket }: IncomingMessage): Promise<boolean> => {
     await untilNextPoll();
--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -179,11 +179,6 @@
         return this.configurationHolder.configuration !== undefined;
     }
 
-    /** True when requests that are read now may have arrived while this process did not run. */
-    get mayRequestsBeOld(): boolean {
-        return this.checker.mayInputBeOld;
-    }
-
     get openJobs(): number {
         return this.pendingJobs.openJobs;
     }
--- a/packages/common/src/PauseDetector.ts
+++ b/packages/common/src/PauseDetector.ts
@@ -11,11 +11,6 @@
         this.checkedAt = clock.now();
     }
 
-    /** True when the next check will find a pause. */
-    get isPaused(): boolean {
-        return this.clock.now() - this.checkedAt > this.longestMs;
-    }
-
     /** The length of the pause that ends with this call; undefined without one. */
     check(): Milliseconds | undefined {
         const now = this.clock.now();
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -13,7 +13,7 @@
 export * from "./safeParseJson";
 export * from "./Signal";
 export * from "./Timers";
+export * from "./turns";
 export * from "./types";
 export * from "./uniqueId";
-export * from "./untilNextPoll";
 export * from "./VirtualTime";
--- a/packages/dispatch/src/PlacementRounds.ts
+++ b/packages/dispatch/src/PlacementRounds.ts
@@ -3,6 +3,7 @@
  * spilled to other zones. Requests for a round that come in one turn of the event loop share it.
  */
 
+import { atTurnEnd } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import { maximumPassedOver } from "./constants";
 import type { JobTable } from "./JobTable";
@@ -42,7 +43,7 @@
     schedule(): void {
         if (!this.isScheduled && !this.isStopped) {
             this.isScheduled = true;
-            setImmediate(() => {
+            atTurnEnd(() => {
                 this.isScheduled = false;
                 this.run();
             });
--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -9,7 +9,7 @@
  * answered a probe (`whenPeerPresent`).
  */
 
-import { getErrorMessage, safeParseJson } from "@anvilmux/common";
+import { atTurnEnd, getErrorMessage, safeParseJson } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import type { Socket } from "node:net";
 import { StringDecoder } from "node:string_decoder";
@@ -175,7 +175,7 @@
             return;
         }
         if (this.unsent.length === 0) {
-            setImmediate(() => this.flush());
+            atTurnEnd(() => this.flush());
         }
         this.unsent.push(line);
     }
--- a/packages/links/src/ChannelChecker.ts
+++ b/packages/links/src/ChannelChecker.ts
@@ -5,7 +5,7 @@
 
 import { PauseDetector } from "@anvilmux/common";
 import type { Clock, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
-import { catchUpMs, checkPeriodMs, stallThresholdMs } from "./constants";
+import { checkPeriodMs, stallThresholdMs } from "./constants";
 
 interface CheckedChannel {
     readonly isOpen: boolean;
@@ -17,11 +17,9 @@
     private readonly channels = new Set<CheckedChannel>();
     private readonly pauses: PauseDetector;
     private readonly unsubscribe: Unsubscribe;
-    /** When the process ran again after its last stall. */
-    private resumedAt: Milliseconds | undefined;
 
     constructor(
-        private readonly clock: Clock,
+        clock: Clock,
         timers: Timers,
         private readonly onStall: (stall: Milliseconds) => void,
     ) {
@@ -29,12 +27,6 @@
         this.unsubscribe = timers.every(checkPeriodMs, () => this.checkChannels());
     }
 
-    /** True when what is read now may have arrived during a stall of this process. */
-    get mayInputBeOld(): boolean {
-        const { pauses, resumedAt, clock } = this;
-        return pauses.isPaused || (resumedAt !== undefined && clock.now() - resumedAt < catchUpMs);
-    }
-
     add(channel: CheckedChannel): void {
         this.channels.add(channel);
     }
@@ -46,7 +38,6 @@
     private checkChannels(): void {
         const pausedMs = this.pauses.check();
         if (pausedMs !== undefined) {
-            this.resumedAt = this.clock.now();
             this.channels.forEach(channel => channel.resetHeartbeatTimeout());
             this.onStall(pausedMs - checkPeriodMs);
         }
--- a/packages/links/src/constants.ts
+++ b/packages/links/src/constants.ts
@@ -16,8 +16,6 @@
 export const checkPeriodMs = 100;
 /** A check that is late by more than this shows that this process itself stalled. */
 export const stallThresholdMs = 200;
-/** Time after a stall of this process within which everything that arrived meanwhile has been read. */
-export const catchUpMs = 3_000;
 /** Time within which a connection must be established. */
 export const connectTimeoutMs = 500;
 export const initialReconnectDelayMs = 50;
