Take messages of a connection whose probes are answered late for old

What callers would see: a connection between entries that the network delays by seconds brings something all the time, so that it is never silent. Once its peer had answered one probe, however late, jobs that came on it were started at once, although their callers had left and sent them elsewhere.

Cause: Channel asked whether a probe was answered, not how long that took.

Evidence: both new tests of Channel.test.ts fail before. Ruled out by reading: a direction that is held for less than 1.25 s (the submitter gives the connection up after 0.6 s, and its caller comes again 1.3 s later), and one held for longer (the silence shows it).

Why it works: an answer that takes as long as a doubtful silence leaves the connection in doubt; each job on it waits for the answer to a probe of its own, before which a cancel or the end of the connection is read.

--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -4,9 +4,9 @@
  * reset. Each end decides by itself how soon: at once while the connection is urgent, that is, while it awaits an
  * answer or a decision depends on the peer, and later otherwise.
  *
- * What is read after a silence can be old: this process did not run, or the network held it back. Its sender may have closed
- * the connection since, whose end is read later. Whoever acts on a message that must not be old waits until the peer has
- * answered a probe (`whenPeerPresent`).
+ * What is read after a silence, or while the peer's answers come late, can be old: this process did not run, or the network
+ * held it back. Its sender may have closed the connection since, whose end is read later. Whoever acts on a message that
+ * must not be old waits until the peer has answered a probe (`whenPeerPresent`).
  */
 
 import { atTurnEnd, getErrorMessage, safeParseJson } from "@anvilmux/common";
@@ -50,8 +50,9 @@
     private urgentSince: Milliseconds | undefined;
     private closed = false;
     private sentProbes = 0;
-    private answeredProbes = 0;
-    /** True while what was received last is recent: the peer has answered a probe, and there was no long silence since. */
+    /** When the probes without an answer were sent, the oldest first. */
+    private openProbes: Milliseconds[] = [];
+    /** True while what was received last is recent: the peer answered a probe in time, and there was no long silence since. */
     private isPeerPresent = false;
     /** Number of the probe that the `presenceListeners` wait for. */
     private presenceProbe = 0;
@@ -155,17 +156,25 @@
     private probe(): number {
         this.probedAt = this.clock.now();
         this.write(`${probeLine}\n`);
+        this.openProbes.push(this.probedAt);
         this.sentProbes += 1;
         return this.sentProbes;
     }
 
-    /** The peer answers probes in their order. */
+    /** The peer answers probes in their order. A late answer tells that what comes on this connection is old. */
     private handleProbeAnswer(): void {
-        this.answeredProbes = Math.min(this.answeredProbes + 1, this.sentProbes);
-        if (this.presenceListeners.length > 0 && this.answeredProbes >= this.presenceProbe) {
+        const sentAt = this.openProbes.shift();
+        if (sentAt === undefined) {
+            return;
+        }
+        const isInTime = this.clock.now() - sentAt <= doubtfulSilenceMs;
+        if (!isInTime) {
+            this.isPeerPresent = false;
+        }
+        if (this.presenceListeners.length > 0 && this.sentProbes - this.openProbes.length >= this.presenceProbe) {
             const listeners = this.presenceListeners;
             this.presenceListeners = [];
-            this.isPeerPresent = true;
+            this.isPeerPresent = isInTime;
             listeners.forEach(listener => listener());
         }
     }
--- a/packages/links/src/constants.ts
+++ b/packages/links/src/constants.ts
@@ -8,8 +8,8 @@
 export const idleHeartbeatPeriodMs = 1_000;
 export const idleHeartbeatTimeoutMs = 2_500;
 /**
- * Silence after which what is received next may have been on its way, or waited to be read, for so long that its sender has
- * given it up. Longer than the probes of an idle connection are apart.
+ * Silence, or time until a probe is answered, after which what is received next may have been on its way, or waited to be
+ * read, for so long that its sender has given it up. Longer than the probes of an idle connection are apart.
  */
 export const doubtfulSilenceMs = 1_250;
 /** Time between two checks of all connections. */
--- a/packages/links/tests/Channel.test.ts
+++ b/packages/links/tests/Channel.test.ts
@@ -235,6 +235,40 @@
         expect(present).toEqual(["a"]);
     });
 
+    test("is shown for what came before a late answer, and stays in doubt for what comes after it", async () => {
+        const { time, socket, present, receive } = newWatchedFixture();
+        receive(toLine("a"));
+        // A network that delays all: something arrives all the time, and all of it is old.
+        for (let passed = 0; passed <= doubtfulSilenceMs; passed += 100) {
+            await time.advance(100);
+            receive(toLine("later"));
+        }
+        receive("");
+        expect(present).toContain("a");
+        const shown = present.length;
+        receive(toLine("b"));
+        expect(present).toHaveLength(shown);
+        await time.advance(1);
+        expect(socket.written.at(-1)).toBe("?\n");
+        receive("");
+        receive(toLine("c"));
+        expect(present.slice(shown)).toEqual(["b", "c"]);
+    });
+
+    test("is in doubt after a late answer to a probe that nobody waits for", async () => {
+        const { time, present, receive } = newWatchedFixture();
+        receive(toLine("a"), "");
+        await time.advance(idleHeartbeatPeriodMs + 100);
+        for (let passed = 0; passed <= doubtfulSilenceMs; passed += 100) {
+            receive(toLine("old"));
+            await time.advance(100);
+        }
+        receive("");
+        const shown = present.length;
+        receive(toLine("b"));
+        expect(present).toHaveLength(shown);
+    });
+
     test("is never shown once the channel is closed", async () => {
         const { socket, present, receive } = newWatchedFixture();
         receive(toLine("a"));
