Listen on another address than the announced one, for instances behind a forwarder

The fault soak needs forwarders between the real programs, which find each other by the addresses that they announce; until now an instance could only listen where it is announced.

--- a/packages/anvilmux/src/http/PublicServer.ts
+++ b/packages/anvilmux/src/http/PublicServer.ts
@@ -13,6 +13,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { InstanceError } from "../errors";
 import { readSettingFile } from "../services/base";
+import { getListenHost } from "../settings";
 import type { Settings } from "../settings";
 import { lifecycleToken, metricsToken } from "../tokens";
 import { registerCallRoutes } from "./callRoutes";
@@ -52,11 +53,11 @@
                 reject(
                     new InstanceError(
                         "listen-failed",
-                        `cannot listen for HTTP requests on ${settings.host}:${settings["public-port"]}`,
+                        `cannot listen for HTTP requests on ${getListenHost(settings)}:${settings["public-port"]}`,
                         error,
                     ),
                 ));
-            server.listen(settings["public-port"], settings.host, resolve);
+            server.listen(settings["public-port"], getListenHost(settings), resolve);
         });
         const { port } = server.address() as AddressInfo;
         return new PublicServer(server, toAddress(`${settings.host}:${port}`));
--- a/packages/anvilmux/src/roles/ControlInstance.ts
+++ b/packages/anvilmux/src/roles/ControlInstance.ts
@@ -12,6 +12,7 @@
 import { defineBaseServices } from "../services/base";
 import { defineControlServices } from "../services/control";
 import { definePeerServices } from "../services/peers";
+import { getListenHost } from "../settings";
 import type { Settings } from "../settings";
 import {
     configurationToken,
@@ -59,7 +60,7 @@
             logger.warn("process stalled", { stallMs: Math.round(stall) });
         });
         this.hub = new ControlHub({
-            host: settings.host,
+            host: getListenHost(settings),
             port: linkPort,
             checker: this.checker,
             environment: { ...environment, logger },
--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -31,7 +31,10 @@
 export interface DispatchEntryOptions {
     readonly instanceId: InstanceId;
     readonly zone: ZoneId;
+    /** IP address under which other instances reach this one. */
     readonly host: string;
+    /** IP address to listen on; `host` when absent. */
+    readonly listenHost?: string;
     readonly linkPort: number;
     /** Link addresses of some control instances; they announce the others. */
     readonly controlSeeds: readonly Address[];
@@ -239,10 +242,10 @@
     }
 
     private newPeers(): ZonePeers {
-        const { environment, logger, host, linkPort } = this.options;
+        const { environment, logger, host, listenHost = host, linkPort } = this.options;
         return new ZonePeers({
             self: this.self,
-            host,
+            host: listenHost,
             port: linkPort,
             checker: this.checker,
             environment: { ...environment, logger },
--- a/packages/anvilmux/src/services/peers.ts
+++ b/packages/anvilmux/src/services/peers.ts
@@ -6,6 +6,7 @@
 import type { PeerTls } from "@anvilmux/transport";
 import type { Environment } from "../environment";
 import { registerPeerRoutes } from "../peerRoutes";
+import { getListenHost } from "../settings";
 import type { Settings } from "../settings";
 import {
     clockToken,
@@ -43,7 +44,8 @@
             token: peerServerToken,
             start: () =>
                 PeerServer.listen({
-                    host: settings.host,
+                    host: getListenHost(settings),
+                    announcedHost: settings.host,
                     port: settings["peer-port"],
                     secrets: getPeerSecrets(settings),
                     tls: readPeerTls(settings),
--- a/packages/anvilmux/src/settings.ts
+++ b/packages/anvilmux/src/settings.ts
@@ -39,7 +39,11 @@
 export const settingDefinitions = {
     "instance-id": define(name.transform(toInstanceId), "Name of this instance, unique in the deployment."),
     "zone": define(name.transform(toZoneId), "Availability zone of this instance."),
-    "host": define(z.string().min(1).default("127.0.0.1"), "IP address to listen on and to announce."),
+    "host": define(z.string().min(1).default("127.0.0.1"), "IP address to announce, and to listen on."),
+    "listen-host": define(
+        z.string().default(""),
+        "IP address to listen on, where others reach `host` through a forwarder; empty: `host`.",
+    ),
     "public-port": define(port.default(7400), "Port for callers, upstreams, workers and operators; 0 picks one."),
     "peer-port": define(port.default(7401), "Port for other instances; 0 picks one."),
     "seeds": define(addresses.default([]), "Peer addresses of some other instances."),
@@ -78,6 +82,9 @@
     readonly [Name in SettingName]: z.infer<(typeof settingDefinitions)[Name]["schema"]>;
 };
 
+/** The IP address that the instance listens on. */
+export const getListenHost = (settings: Settings): string => settings["listen-host"] || settings.host;
+
 export type SettingSource = "flag" | "environment" | "default";
 
 /** Validated settings and the source of each. */
--- a/packages/anvilmux/tests/settings.test.ts
+++ b/packages/anvilmux/tests/settings.test.ts
@@ -1,6 +1,6 @@
 /** Sources, validation and display of settings. */
 
-import { describeSettings, loadSettings, SettingsError } from "@anvilmux/anvilmux";
+import { describeSettings, getListenHost, loadSettings, SettingsError } from "@anvilmux/anvilmux";
 
 const credentials = { "peer-secrets": "one,two", "platform-token": "platform", "operator-token": "operator" };
 const required = { "instance-id": "entry-1", "zone": "eire-dub", ...credentials };
@@ -26,6 +26,12 @@
             .toEqual(["flag", "environment", "default"]);
     });
 
+    test("an instance listens where it is reached unless another address is given", () => {
+        const { settings } = loadSettings({ ...required, host: "10.0.0.1" }, {});
+        expect(getListenHost(settings)).toBe("10.0.0.1");
+        expect(getListenHost({ ...settings, "listen-host": "127.0.0.1" })).toBe("127.0.0.1");
+    });
+
     test("all faults are reported together, each with the name of its setting", () => {
         expect(getFaults({ "zone": "Eire", "peer-port": "99999", "slot-strategy": "best" }))
             .toEqual(["instance-id", "zone", "peer-port", "slot-strategy"]);
--- a/packages/transport/src/PeerServer.ts
+++ b/packages/transport/src/PeerServer.ts
@@ -15,6 +15,8 @@
 
 export interface PeerServerOptions {
     readonly host: string;
+    /** IP address under which other instances reach this one; `host` when absent. */
+    readonly announcedHost?: string;
     /** 0 selects a free port. */
     readonly port: number;
     readonly secrets: PeerSecrets;
@@ -71,7 +73,7 @@
             server.listen(options.port, options.host, resolve);
         });
         const { port } = server.address() as AddressInfo;
-        const peerServer = new PeerServer(server, toAddress(`${options.host}:${port}`));
+        const peerServer = new PeerServer(server, toAddress(`${options.announcedHost ?? options.host}:${port}`));
         server.on("connection", (socket: Socket) => peerServer.track(socket));
         return peerServer;
     }
