--- a/packages/dispatch/tests/simulation/DispatchSimulation.ts
+++ b/packages/dispatch/tests/simulation/DispatchSimulation.ts
@@ -3,13 +3,14 @@
  * two owners at once, entries that stall, connections that lose messages, and latencies of up to seconds.
  */
 
-import { newRandom, pickOne, toAddress, toJobId, toZoneId, VirtualTime } from "@anvilmux/common";
+import { newRandom, pickOne, toAddress, toZoneId, VirtualTime } from "@anvilmux/common";
 import type { Milliseconds, Random } from "@anvilmux/common";
-import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
-import type { JobRequest, TaskName } from "@anvilmux/dispatch";
+import { toWorkerId } from "@anvilmux/dispatch";
+import type { JobRequest } from "@anvilmux/dispatch";
 import { LeasedWorker } from "@anvilmux/stand-ins";
 import type { LogFields, Logger } from "@anvilmux/telemetry";
 import { CallRecords, getJobOf } from "./CallRecords";
+import { newSimulatedRequest } from "./newSimulatedRequest";
 import { SimulatedCaller } from "./SimulatedCaller";
 import { SimulatedEntry } from "./SimulatedEntry";
 
@@ -146,26 +147,15 @@
     private newRequest(id: string): JobRequest {
         const runMs = 50 + this.random.integer(600);
         this.runTimes.set(id, runMs);
-        return {
-            id: toJobId(id),
-            queue: "checks",
-            service: "desk",
-            payload: id,
-            tasks: Array.from({ length: 1 + this.random.integer(3) }, (_, index): JobRequest["tasks"][number] => ({
-                name: toTaskName(`${id}.${index}`) satisfies TaskName,
-                millicores: taskMillicores,
-                memoryMebibytes: 64,
-                accelerators: 0,
-                estimateMs: runMs,
-            })),
-            priority: 0,
+        return newSimulatedRequest({
+            id,
+            taskCount: 1 + this.random.integer(3),
+            taskMillicores,
+            runMs,
             attempts: 2,
             objectiveMs: 300 + this.random.integer(1_200),
             remainingMs: 2_000 + this.random.integer(3_000),
-            resubmitted: false,
-            mayRunElsewhere: false,
-            spilled: false,
-        };
+        });
     }
 
     private injectFault(): void {
--- a/packages/dispatch/tests/simulation/WorkerSimulation.ts
+++ b/packages/dispatch/tests/simulation/WorkerSimulation.ts
@@ -3,15 +3,16 @@
  * and callers. Checked: no task runs on two workers at the same time, and no task of a refused job is started.
  */
 
-import { newRandom, pickOne, toAddress, toJobId, toZoneId, VirtualTime } from "@anvilmux/common";
+import { newRandom, pickOne, toAddress, toZoneId, VirtualTime } from "@anvilmux/common";
 import type { Milliseconds, Random } from "@anvilmux/common";
-import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
-import type { JobRequest, TaskName, WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
+import { toWorkerId } from "@anvilmux/dispatch";
+import type { JobRequest, WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
 import { LeasedWorker } from "@anvilmux/stand-ins";
 import type { LogFields, Logger } from "@anvilmux/telemetry";
 import { CallRecords, getJobOf } from "./CallRecords";
 import { FaultInjector } from "./FaultInjector";
 import type { FaultProfile } from "./faultProfiles";
+import { newSimulatedRequest } from "./newSimulatedRequest";
 import { RelayStation } from "./RelayStation";
 import { SimulatedEntry } from "./SimulatedEntry";
 import { StallingTimers } from "./StallingTimers";
@@ -212,26 +213,15 @@
     private newRequest(id: string): JobRequest {
         const runMs = 100 + this.random.integer(700);
         this.runTimes.set(id, runMs);
-        return {
-            id: toJobId(id),
-            queue: "checks",
-            service: "desk",
-            payload: id,
-            tasks: Array.from({ length: 1 + this.random.integer(2) }, (_, index): JobRequest["tasks"][number] => ({
-                name: toTaskName(`${id}.${index}`) satisfies TaskName,
-                millicores: taskMillicores,
-                memoryMebibytes: 64,
-                accelerators: 0,
-                estimateMs: runMs,
-            })),
-            priority: 0,
+        return newSimulatedRequest({
+            id,
+            taskCount: 1 + this.random.integer(2),
+            taskMillicores,
+            runMs,
             attempts: 3,
             objectiveMs: runMs * 2 + 1_000,
             remainingMs: 1_500 + this.random.integer(2_500),
-            resubmitted: false,
-            mayRunElsewhere: false,
-            spilled: false,
-        };
+        });
     }
 
     /** Claims the workers; the other entries hear of it within `longestNoticeMs`. */
