--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -17,6 +17,8 @@
         memberProcess: "bench/src/memberProcess.ts",
         forwarder: "bench/src/forwarder.ts",
         upstreamProcess: "bench/src/upstreamProcess.ts",
+        soak: "soak/src/main.ts",
+        soakProcess: "soak/src/soakProcess.ts",
     },
     outdir: "dist",
     bundle: true,
