--- a/packages/anvilmux/src/http/callRoutes.ts
+++ b/packages/anvilmux/src/http/callRoutes.ts
@@ -11,7 +11,7 @@
 import { callsToken, clockToken, configurationToken, lifecycleToken, loggerToken, tracingToken } from "../tokens";
 import { authenticateCaller, mayCall } from "./authentication";
 import { BodyError, BodyReader } from "./body";
-import { isCallerPresent } from "./callerPresence";
+import { isCallerPresent } from "./isCallerPresent";
 import {
     newForbiddenProblem,
     newInvalidRequestProblem,
--- a/packages/anvilmux/src/index.ts
+++ b/packages/anvilmux/src/index.ts
@@ -8,7 +8,8 @@
  */
 export * from "./environment";
 export * from "./errors";
-export * from "./http/callerPresence";
+export * from "./http/CallerPresence";
+export * from "./http/isCallerPresent";
 export { newApp } from "./http/PublicServer";
 export * from "./Instance";
 export * from "./roles/ControlInstance";
