--- a/soak/src/findConnectionSource.ts
+++ b/soak/src/findConnectionSource.ts
@@ -5,8 +5,6 @@
 
 import { readdirSync, readFileSync, readlinkSync } from "node:fs";
 
-const inodeColumn = 9;
-
 /** The name of the process with that connection; undefined when none of them has it. */
 export const findConnectionSource = (
     port: number,
@@ -19,13 +17,11 @@
         : [...processes].find(([, pid]) => getSocketNames(pid).includes(`socket:[${inode}]`))?.[0];
 };
 
+/** Columns after the addresses: state, queues, timer, retransmissions, user, time-out, inode. */
 const findInode = (port: number, forwarderPort: number): string | undefined => {
     const [local, remote] = [toHexadecimal(port), toHexadecimal(forwarderPort)];
-    return readFileSync("/proc/net/tcp", "utf8")
-        .split("\n")
-        .map(line => line.trim().split(/\s+/))
-        .find(columns => columns[1]?.endsWith(local) && columns[2]?.endsWith(remote))
-        ?.[inodeColumn];
+    const pattern = new RegExp(`${local} [0-9A-F]+${remote} \\S+ \\S+ \\S+ \\S+ +\\d+ +\\d+ (\\d+)`);
+    return pattern.exec(readFileSync("/proc/net/tcp", "utf8"))?.[1];
 };
 
 const toHexadecimal = (port: number): string => `:${port.toString(16).toUpperCase().padStart(4, "0")}`;
