--- a/packages/anvilmux/src/http/CallerPresence.ts
+++ b/packages/anvilmux/src/http/CallerPresence.ts
@@ -4,7 +4,7 @@
  * callers gave up. Requests wait for that moment then, and longer once the end of such a connection has come.
  */
 
-import type { Clock, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
+import type { Clock, Milliseconds, Timers } from "@anvilmux/common";
 import { doubtfulSilenceMs } from "@anvilmux/links";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
@@ -21,7 +21,7 @@
     private doubtUntil: Milliseconds = 0;
     /** Ends the wait of each request that waits. */
     private readonly waiting = new Set<() => void>();
-    private cancelTimer: Unsubscribe | undefined;
+    private isTimerSet = false;
 
     constructor(private readonly clock: Clock, private readonly timers: Timers) {
         this.requestedAt = clock.now();
@@ -62,7 +62,9 @@
             socket.once("end", handleEnd);
             socket.once("close", handleEnd);
             this.waiting.add(finish);
-            this.cancelTimer ??= this.startTimer();
+            if (!this.isTimerSet) {
+                this.setTimer();
+            }
         });
     }
 
@@ -70,11 +72,12 @@
         this.doubtUntil = this.clock.now() + heldEndsArrivalMs;
     }
 
-    private startTimer(): Unsubscribe {
-        return this.timers.after(this.doubtUntil - this.clock.now(), () => {
-            this.cancelTimer = undefined;
+    private setTimer(): void {
+        this.isTimerSet = true;
+        this.timers.after(this.doubtUntil - this.clock.now(), () => {
+            this.isTimerSet = false;
             if (this.clock.now() < this.doubtUntil) {
-                this.cancelTimer = this.startTimer();
+                this.setTimer();
                 return;
             }
             [...this.waiting].forEach(finish => finish());
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-// Bundles the library, the command line, the bench runner and the processes that it starts into dist/.
+// Bundles the library, the command line, and the bench and soak runners with the processes that they start into dist/.
 // Workspace packages are inlined; registry packages stay external.
 import { build } from "esbuild";
 import { rmSync } from "node:fs";
