--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -13,7 +13,6 @@
     .option("--program", "Program of the platform to play", "target/platform/main.js")
     .option("--direct", "No faults between programs, for programs that listen only where they are announced")
     .option("--keep", "Keep the logs of plays without violations, too")
-    .option("--network", "Second number of the first loopback address", "60")
     .action(async flags => {
         process.exitCode = await runSeeds(flags);
     })
--- a/soak/src/playSeed.ts
+++ b/soak/src/playSeed.ts
@@ -15,6 +15,7 @@
 import { Operator } from "./Operator";
 import type { PlayParts } from "./PlayParts";
 import { PromiseChecker } from "./PromiseChecker";
+import { reserveNetwork } from "./reserveNetwork";
 import type { Plan, Violation } from "./types";
 import { Workers } from "./Workers";
 
@@ -23,7 +24,6 @@
     /** Time within which faults begin. */
     readonly lengthMs: Milliseconds;
     readonly programPath: string;
-    readonly network: number;
     readonly hasForwardersBetween: boolean;
     /** Holds the logs of the processes and the record of the play; removed after a play without violations. */
     readonly folder: string;
@@ -62,6 +62,7 @@
     const plan = newPlan({ seed, lengthMs, programs, workerZones });
     const deployment = await Deployment.create({
         ...options,
+        network: await reserveNetwork(),
         onUnexpectedEnd: (name, detail) => checker.report("processes", `${name} ended by itself: ${detail}`),
     });
     const parts: PlayParts = { deployment, checker, random: newRandom(seed), log };
--- a/soak/src/runSeeds.ts
+++ b/soak/src/runSeeds.ts
@@ -15,7 +15,6 @@
 const exitUsage = 2;
 const maximumJobs = 20;
 const maximumSeconds = 3_600;
-const maximumNetwork = 200;
 const millisecondsPerSecond = 1_000;
 
 /** Returns the exit status. */
@@ -33,12 +32,11 @@
         process.stderr.write(`${error.message}\n`);
         return exitUsage;
     }
-    const network = parseCount("network", flags["network"], maximumNetwork);
     const waiting = [...plays];
     const results: PlayResult[] = [];
-    await Promise.all(Array.from({ length: Math.min(jobs, plays.length) }, async (_, slot) => {
+    await Promise.all(Array.from({ length: Math.min(jobs, plays.length) }, async () => {
         for (let play = waiting.shift(); play; play = waiting.shift()) {
-            const result = await playApart({ ...play, network: network + slot });
+            const result = await playApart(play);
             results.push(result);
             process.stdout.write(`${describe(result)}\n`);
         }
@@ -56,7 +54,6 @@
         seed,
         lengthMs: seconds * millisecondsPerSecond,
         programPath: resolve(String(flags["program"])),
-        network: 0,
         hasForwardersBetween: flags["direct"] !== true,
         folder: join(results, `seed-${seed}`),
         keepsFolder: flags["keep"] === true,
