Soak: name the settings variable by its constant, keep a worker's address, and drop what nothing calls

The platform's name of the variable stood outside platform/; the address of a worker was read back out of its id; two getters had no caller.

--- a/soak/src/Deployment.ts
+++ b/soak/src/Deployment.ts
@@ -2,7 +2,7 @@
 
 import { toAddress } from "@anvilmux/common";
 import type { Address, Milliseconds } from "@anvilmux/common";
-import { isEntryReady, toSettingsText } from "@anvilmux/platform";
+import { isEntryReady, settingsVariable, toSettingsText } from "@anvilmux/platform";
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { createWriteStream, mkdirSync, rmSync, writeFileSync } from "node:fs";
@@ -104,7 +104,7 @@
         machine.hasStarted = true;
         const log = createWriteStream(join(this.options.folder, `${name}.log`), { flags: "a" });
         const child = spawn(process.execPath, [...memoryLimitFlags, this.options.programPath, machine.program.role], {
-            env: { PATH: process.env["PATH"], ANVILMUX_CONFIG: settingsPath },
+            env: { PATH: process.env["PATH"], [settingsVariable]: settingsPath },
             stdio: ["ignore", "pipe", "pipe"],
         });
         child.stdout.pipe(log, { end: false });
--- a/soak/src/PromiseChecker.ts
+++ b/soak/src/PromiseChecker.ts
@@ -46,11 +46,6 @@
         return this.started.size;
     }
 
-    /** Tasks that run at present. */
-    get runningTasks(): readonly string[] {
-        return [...this.running.keys()];
-    }
-
     countOutcomes(): Readonly<Record<string, number>> {
         const counts: Record<string, number> = {};
         for (const outcome of [...this.jobs.values()].flatMap(({ outcomes }) => outcomes)) {
@@ -112,7 +107,7 @@
     }
 
     /** The newest version that was acknowledged for long enough at that time; 0 without one. */
-    getNewestVersion(atMs: Milliseconds): number {
+    private getNewestVersion(atMs: Milliseconds): number {
         const old = this.acknowledged.filter(item => item.atMs + configurationLagMs < atMs);
         return Math.max(0, ...old.map(({ version }) => version));
     }
--- a/soak/src/Workers.ts
+++ b/soak/src/Workers.ts
@@ -1,7 +1,7 @@
 /** The workers of a play: stand-ins that announce themselves to control, and the faults that they meet. */
 
 import { splitAddress } from "@anvilmux/common";
-import type { Milliseconds } from "@anvilmux/common";
+import type { Address, Milliseconds } from "@anvilmux/common";
 import { announceWorker, StandInWorker } from "@anvilmux/platform";
 import { draw } from "./draw";
 import { service, workerMillicores, workerZones } from "./layout";
@@ -10,6 +10,7 @@
 interface PlacedWorker {
     readonly zone: string;
     readonly worker: StandInWorker;
+    readonly address: Address;
     announcements: number;
 }
 
@@ -91,8 +92,7 @@
                 checker.handleEnd(task, id, how === "done");
             },
         });
-        await worker.listen();
-        const item: PlacedWorker = { zone, worker, announcements: 0 };
+        const item: PlacedWorker = { zone, worker, address: await worker.listen(), announcements: 0 };
         this.placed[index] = item;
         await this.announce(item);
     }
@@ -101,10 +101,10 @@
         const { deployment, random } = this.parts;
         const control = draw(random, [...deployment.controlAddresses.values()]);
         item.announcements += 1;
-        const { zone, worker, announcements: sequence } = item;
+        const { zone, worker, address, announcements: sequence } = item;
         await announceWorker(control, {
             id: worker.id,
-            address: deployment.getWorkerAddress(Number(worker.id.slice("worker-".length))),
+            address,
             zone,
             service,
             millicores: workerMillicores,
