Review: a new owner starts tasks that run on workers which it does not know

The wait after a change of owner ends as soon as the workers that the new owner knows were listed; an entry that is cut off from control does not hear of added workers, and the other entries of its zone do not tell it.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -5,6 +5,7 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
+import { Forwarder } from "./forwarder.mjs";
 import { call } from "./worker.mjs";
 
 export const root = resolve(import.meta.dirname, "../..");
@@ -100,10 +101,22 @@
         return { host: `${this.network}.${100 + number}`, port: ports.worker };
     }
 
-    addMachine(name, role, number, zone, { bootstrap = true } = {}) {
+    addMachine(name, role, number, zone, { bootstrap = true, listenIp } = {}) {
         const dataFolder = join(this.folder, `${name}-data`);
         mkdirSync(dataFolder, { recursive: true });
-        this.machines.set(name, { name, role, zone, ip: `${this.network}.${number}`, bootstrap, dataFolder });
+        this.machines.set(name, { name, role, zone, ip: `${this.network}.${number}`, bootstrap, dataFolder, listenIp });
+    }
+
+    /** A control machine whose ports for other processes are reached through forwarders; returns these. */
+    async addForwardedControl(name, number, zone) {
+        const listenIp = `${this.network}.${200 + number}`;
+        this.addMachine(name, "control", number, zone, { listenIp });
+        const { ip } = this.machines.get(name);
+        const forwarders = [ports.internal, ports.internal + 1].map(port =>
+            new Forwarder({ host: ip, port }, { host: listenIp, port })
+        );
+        await Promise.all(forwarders.map(({ listening }) => listening));
+        return forwarders;
     }
 
     start(name) {
@@ -225,7 +238,7 @@
         rmSync(this.folder, { recursive: true, force: true });
     }
 
-    getSettings({ name, role, zone, ip, bootstrap, dataFolder }) {
+    getSettings({ name, role, zone, ip, bootstrap, dataFolder, listenIp }) {
         const isControl = role === "control";
         return {
             node_name: name,
@@ -233,6 +246,7 @@
             machine_class: isControl ? "core" : "edge",
             serves: [isControl ? "control" : "edge"],
             ip,
+            ...listenIp ? { listen_ip: listenIp } : {},
             zone,
             region: "home",
             zones: Object.fromEntries(zones.map(zoneName => [zoneName, "home"])),
