--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -8,8 +8,9 @@
 import { spawnSync } from "node:child_process";
 import { readFileSync } from "node:fs";
 
-/** Tests that flood real programs: beside others they would slow both. */
-const testsRunAlone = ["platform/tests/untrustedClients.test.ts"];
+/** Tests that flood real programs: beside others they would slow both, so they run one after the other. */
+const testsRunAlone = ["Callers", "Clients", "Control", "Entries"]
+    .map(name => `platform/tests/untrusted${name}.test.ts`);
 
 const entryPattern = /^npm test -- \S+ -t "(.+)"$/gm;
 
@@ -27,7 +28,7 @@
 const isWholeRun = given.every(argument => argument.startsWith("-"));
 const ignored = isWholeRun && !isNamed ? ["/node_modules/", ...testsRunAlone] : [];
 if (ignored.length > 0) {
-    const command = ["--experimental-vm-modules", import.meta.filename, ...testsRunAlone, ...given];
+    const command = ["--experimental-vm-modules", import.meta.filename, "--runInBand", ...testsRunAlone, ...given];
     const { status } = spawnSync(process.execPath, command, { stdio: "inherit" });
     process.exitCode = status ?? 1;
 }
