What clients may hold follows the memory of the machine

Cause: the memory of clients is a quarter of the heap limit, 62 MiB with the 200 MB of deploy/system.toml, on every machine; limits.memory_mb of the settings was not read. An entry occupies up to 104 MB by itself, and what is held leaves about twice its size in garbage, so that 62 MiB do not fit into 210 MB.

Change: the default is also at most 0.3 of what the machine has beyond 110 MiB: 30 MiB at 210 MB, 42 at 250, 61 at 312, and as before from 350 MB on.

Ruled out: another heap limit for each machine. The deployment file knows no arithmetic, and V8 does not take a limit after its start (heap_size_limit stays at 248 MB after setFlagsFromString).

--- a/packages/intake/src/Connections.ts
+++ b/packages/intake/src/Connections.ts
@@ -73,14 +73,14 @@
     }
 
     /**
-     * The connection that is to be closed in favour of `favoured`, from `address` if one is given; undefined when all
-     * others are at work.
+     * The connection that is to be closed in favour of another one's account, from `address` if one is given; undefined
+     * when all others are at work.
      */
-    findDispensable(favoured: ClientConnection, address?: string): ClientConnection | undefined {
+    findDispensable(favoured: MemoryAccount, address?: string): ClientConnection | undefined {
         for (const connections of [this.unused, this.idle]) {
             for (const connection of connections) {
                 const isOfAddress = address === undefined || connection.account.address === address;
-                if (connection !== favoured && isOfAddress) {
+                if (connection.account !== favoured && isOfAddress) {
                     return connection;
                 }
             }
--- a/packages/intake/src/Intake.ts
+++ b/packages/intake/src/Intake.ts
@@ -15,7 +15,7 @@
 import { bodyCopies, connectionBytes, requestBytes } from "./limits";
 import type { IntakeLimits } from "./limits";
 import { MemoryBudget } from "./MemoryBudget";
-import type { MemoryRefusal } from "./MemoryBudget";
+import type { MemoryAccount, MemoryRefusal } from "./MemoryBudget";
 import { ReadingTurns } from "./ReadingTurns";
 import { Refusals } from "./Refusals";
 import type { RefusalCause } from "./Refusals";
@@ -48,7 +48,8 @@
 const retryAfterSeconds = 1;
 
 export class Intake {
-    private readonly budget: MemoryBudget;
+    /** What all clients of the process occupy, also for listeners and holders other than HTTP servers. */
+    readonly budget: MemoryBudget;
     private readonly refusals: Refusals;
     private readonly connections = new Connections();
     private readonly bySocket = new WeakMap<Socket, ClientConnection>();
@@ -66,6 +67,7 @@
             totalBytes: limits.memoryBytes,
             addressBytes: Math.floor(limits.memoryBytes * limits.addressShare),
         });
+        this.budget.addReclaim((refusal, favoured) => this.reclaim(refusal, favoured));
         this.refusals = new Refusals(options);
         metrics.gauge("anvilmux_client_connections", {}, () => this.connections.count);
         metrics.gauge("anvilmux_client_memory_bytes", {}, () => this.budget.heldBytes);
@@ -123,9 +125,12 @@
         this.stopChecks ??= this.options.timers.every(checkPeriodMs, () => this.checkUnread());
         if (this.connections.count > this.options.limits.connections) {
             const [slowest] = this.transfers;
-            this.drop(this.connections.findDispensable(connection) ?? slowest?.connection ?? connection, "connections");
+            this.drop(
+                this.connections.findDispensable(connection.account) ?? slowest?.connection ?? connection,
+                "connections",
+            );
         }
-        const refusal = socket.destroyed ? undefined : this.charge(connection, connectionBytes);
+        const refusal = socket.destroyed ? undefined : connection.account.charge(connectionBytes);
         if (refusal !== undefined) {
             this.drop(connection, refusal);
         }
@@ -146,7 +151,7 @@
             return false;
         }
         const bytes = requestBytes + getHeaderBytes(request);
-        const refusal = this.charge(connection, bytes);
+        const refusal = connection.account.charge(bytes);
         if (refusal !== undefined) {
             this.refuse(connection, request, response, refusal);
             return false;
@@ -188,7 +193,7 @@
         let isFragmented = false;
         return {
             charge: bytes => {
-                const refusal = this.charge(connection, bytes);
+                const refusal = connection.account.charge(bytes);
                 held.bytes += refusal === undefined ? bytes : 0;
                 return refusal;
             },
@@ -221,7 +226,7 @@
     }
 
     private chargeResponse(connection: ClientConnection, response: ServerResponse, bytes: number): boolean {
-        const refusal = bytes === 0 ? undefined : this.charge(connection, bytes);
+        const refusal = bytes === 0 ? undefined : connection.account.charge(bytes);
         if (connection.socket.destroyed) {
             return false;
         }
@@ -243,27 +248,20 @@
         return true;
     }
 
-    /** Charges a connection; for want of memory, slower bodies and responses and then idle connections make room. */
-    private charge(connection: ClientConnection, bytes: number): MemoryRefusal | undefined {
-        const { account } = connection;
-        let refusal = account.charge(bytes);
-        while (refusal === "memory" || refusal === "address-memory") {
-            const address = refusal === "address-memory" ? account.address : undefined;
-            const slowest = this.findSlowest(address);
-            const dispensable = slowest ? undefined : this.connections.findDispensable(connection, address);
-            if (slowest) {
-                slowest.stop(refusal);
-                this.transfers.delete(slowest);
-            }
-            else if (dispensable) {
-                this.drop(dispensable, refusal);
-            }
-            else {
-                return refusal;
-            }
-            refusal = account.charge(bytes);
+    /** Gives up the slowest body or response, or else closes an idle connection. */
+    private reclaim(refusal: MemoryRefusal, favoured: MemoryAccount): boolean {
+        const address = refusal === "address-memory" ? favoured.address : undefined;
+        const slowest = this.findSlowest(address);
+        if (slowest) {
+            slowest.stop(refusal);
+            this.transfers.delete(slowest);
+            return true;
+        }
+        const dispensable = this.connections.findDispensable(favoured, address);
+        if (dispensable) {
+            this.drop(dispensable, refusal);
         }
-        return refusal;
+        return dispensable !== undefined;
     }
 
     private findSlowest(address: string | undefined): SlowTransfer | undefined {
--- a/packages/intake/src/MemoryBudget.ts
+++ b/packages/intake/src/MemoryBudget.ts
@@ -1,9 +1,17 @@
 /**
- * Counts the memory that clients occupy, in all and by client address and connection, and refuses what exceeds a share.
+ * The one sum of what clients make a process hold, whichever listener they use: connections, what they send and do not
+ * read, and the jobs that they submit. Counted in all, by client address and by account; what exceeds a share is refused
+ * unless something dispensable can be given up for it.
  */
 
 export type MemoryRefusal = "memory" | "address-memory" | "connection-memory";
 
+/**
+ * Gives up something dispensable in favour of `favoured`: of its address, if that has too much (`address-memory`). False
+ * when there is nothing.
+ */
+export type Reclaim = (refusal: MemoryRefusal, favoured: MemoryAccount) => boolean;
+
 export interface MemoryBudgetOptions {
     readonly totalBytes: number;
     /** Bytes that the connections of one client address can occupy together. */
@@ -18,6 +26,7 @@
 
 export class MemoryBudget {
     private readonly shares = new Map<string, AddressShare>();
+    private readonly reclaims: Reclaim[] = [];
     private total = 0;
 
     constructor(private readonly options: MemoryBudgetOptions) {}
@@ -26,20 +35,33 @@
         return this.total;
     }
 
-    /** Opens the account of one connection, which can occupy `maximumBytes`. */
+    /** Asked in the order in which they were added when an account is short of memory. */
+    addReclaim(reclaim: Reclaim): void {
+        this.reclaims.push(reclaim);
+    }
+
+    /**
+     * Opens an account, such as that of one connection, which can occupy `maximumBytes`. `address`: of the client, or a
+     * name for what comes from all of them.
+     */
     openAccount(address: string, maximumBytes: number): MemoryAccount {
         const share = this.shares.get(address) ?? { address, heldBytes: 0, accounts: 0 };
         this.shares.set(address, share);
         share.accounts += 1;
         let held = 0;
         let isOpen = true;
-        return {
+        const findRefusal = (bytes: number) =>
+            isOpen ? this.findRefusal(share, held, maximumBytes, bytes) : "connection-memory";
+        const account: MemoryAccount = {
             address,
             get heldBytes() {
                 return held;
             },
             charge: bytes => {
-                const refusal = isOpen ? this.findRefusal(share, held, maximumBytes, bytes) : "connection-memory";
+                let refusal = findRefusal(bytes);
+                while (refusal !== undefined && this.reclaim(refusal, account)) {
+                    refusal = findRefusal(bytes);
+                }
                 if (refusal === undefined) {
                     held += bytes;
                     this.add(share, bytes);
@@ -64,6 +86,12 @@
                 }
             },
         };
+        return account;
+    }
+
+    /** False when nothing could be given up. */
+    private reclaim(refusal: MemoryRefusal, favoured: MemoryAccount): boolean {
+        return refusal !== "connection-memory" && this.reclaims.some(reclaim => reclaim(refusal, favoured));
     }
 
     private add(share: AddressShare, bytes: number): void {
@@ -87,11 +115,11 @@
     }
 }
 
-/** What one connection occupies. */
+/** What one connection, or another holder, occupies. */
 export interface MemoryAccount {
     readonly address: string;
     readonly heldBytes: number;
-    /** Charges `bytes`, or nothing when a share would be exceeded. */
+    /** Charges `bytes`, or nothing when a share would be exceeded and nothing can be given up for it. */
     readonly charge: (bytes: number) => MemoryRefusal | undefined;
     readonly release: (bytes: number) => void;
     /** Releases everything; later charges are refused, and later releases have no effect. */
--- a/packages/intake/src/limits.ts
+++ b/packages/intake/src/limits.ts
@@ -30,6 +30,8 @@
 export interface ProcessResources {
     readonly heapBytes: number;
     readonly descriptors: number;
+    /** Memory that the machine gives the process; absent where it is unknown. */
+    readonly machineBytes?: number | undefined;
 }
 
 /** Memory of a connection with its parser and of a request with its response, before headers and bodies. */
@@ -50,13 +52,21 @@
 /** Without a bound, idle connections alone could exhaust the memory of all clients. */
 const connectionShareOfMemory = 0.5;
 
-const getDefaultMemory = (heapBytes: number): number =>
-    Math.min(mostMemoryBytes, Math.max(leastMemoryBytes, Math.floor(heapBytes * defaultMemoryShare)));
+/** What a process occupies with ordinary load; beyond it, a machine's memory is for clients and garbage. */
+const ordinaryBytes = 110 * 1_048_576;
+/** What is held for clients leaves about twice its size in garbage. */
+const machineMemoryShare = 0.3;
+
+const getDefaultMemory = ({ heapBytes, machineBytes = Infinity }: ProcessResources): number => {
+    const wanted = Math.min(heapBytes * defaultMemoryShare, (machineBytes - ordinaryBytes) * machineMemoryShare);
+    return Math.min(mostMemoryBytes, Math.max(leastMemoryBytes, Math.floor(wanted)));
+};
 
 export const getDefaultLimits = (
-    { heapBytes, descriptors }: ProcessResources,
-    memoryBytes = getDefaultMemory(heapBytes),
+    resources: ProcessResources,
+    memoryBytes = getDefaultMemory(resources),
 ): IntakeLimits => {
+    const { descriptors } = resources;
     return {
         memoryBytes,
         addressShare: defaultAddressShare,
@@ -79,9 +89,11 @@
 const portableDescriptors = 256;
 const descriptorsPattern = /^Max open files\s+(\d+)/m;
 
-export const readProcessResources = (): ProcessResources => ({
+/** `machineBytes`: memory that the machine gives the process, where it is known. */
+export const readProcessResources = (machineBytes?: number): ProcessResources => ({
     heapBytes: getHeapStatistics().heap_size_limit,
     descriptors: readDescriptorLimit(),
+    machineBytes,
 });
 
 const readDescriptorLimit = (): number => {
--- a/packages/intake/tests/Intake.test.ts
+++ b/packages/intake/tests/Intake.test.ts
@@ -28,6 +28,15 @@
         expect(small.memoryBytes * small.addressShare).toBeGreaterThan(2 * 4 * 1_048_576 + 1_048_576);
         expect(small.connections).toBeLessThanOrEqual(128);
     });
+
+    // They were a quarter of the heap limit, which lay beyond the memory of the smallest machines.
+    test("leave memory for the process and its garbage on a machine that has less than the heap limit", () => {
+        const machineBytes = 210 * 1_048_576;
+        const small = getDefaultLimits({ heapBytes: 248 * 1_048_576, descriptors: 3_075, machineBytes });
+        const ordinaryBytes = 104 * 1_048_576;
+        expect(ordinaryBytes + 3 * small.memoryBytes).toBeLessThanOrEqual(machineBytes);
+        expect(small.memoryBytes * small.addressShare).toBeGreaterThan(2 * 4 * 1_048_576 + 1_048_576);
+    });
 });
 
 /** A connection as far as `ReadingTurns` uses it. */
--- a/packages/intake/tests/MemoryBudget.test.ts
+++ b/packages/intake/tests/MemoryBudget.test.ts
@@ -70,4 +70,25 @@
             { seed: 7, numRuns: 300 },
         );
     });
+
+    // Several kinds of holders fill it together, and each can give up only its own.
+    test("is charged once something dispensable was given up, and never waits for what cannot be", () => {
+        const budget = newBudget();
+        const idle = budget.openAccount("a", 500);
+        const busy = budget.openAccount("b", 500);
+        idle.charge(500);
+        busy.charge(500);
+        const asked: string[] = [];
+        budget.addReclaim((refusal, favoured) => {
+            asked.push(`${refusal} for ${favoured.address}`);
+            const isHeld = idle.heldBytes > 0;
+            idle.close();
+            return isHeld;
+        });
+        const account = budget.openAccount("c", 600);
+        expect(account.charge(400)).toBeUndefined();
+        expect(account.charge(200)).toBe("memory");
+        expect(account.charge(300)).toBe("connection-memory");
+        expect(asked).toEqual(["memory for c", "memory for c"]);
+    });
 });
