Connections to the ports between instances are bounded before their senders are known

Cause: a listener for instances held up to 8 MB of an incomplete line, and up to 8 MB of output, for each connection, and took any number of connections, before or after anybody had said who they are. What is read was parsed whatever it becomes. Nothing of it counted in the memory for clients. An incomplete line was also copied again with each piece.

Change: a guard for such a listener, which charges connections, incomplete lines and unread output to the memory of all clients. A connection has 5 s to say who it is, with a line of at most 64 KiB; those that have not make room for others, the oldest of the address with the most first. A line has 10 s; one of more than 250,000 values is not parsed (the widest job has 60,000, 10,000 workers 120,000). A stall of this process restarts these times. An entry introduces itself to control once. Pieces of a line are joined once.

Ruled out: authentication. The platform's settings hold no secret that instances share and clients do not know.

--- a/packages/anvilmux/src/environment.ts
+++ b/packages/anvilmux/src/environment.ts
@@ -2,6 +2,7 @@
 
 import { newFolderFiles, newRandom, newSystemClock, newSystemTimers } from "@anvilmux/common";
 import type { Clock, Files, Random, Timers } from "@anvilmux/common";
+import type { IntakeLimits } from "@anvilmux/intake";
 import type { ManifestAuthority } from "@anvilmux/manifest";
 
 export interface Environment {
@@ -14,6 +15,8 @@
     readonly isReachable: (address: string) => boolean;
     /** Verifies manifests; without it they must be signed by one of the trusted keys of the settings. */
     readonly authority?: ManifestAuthority;
+    /** Limits on clients; as in the settings when absent. */
+    readonly intakeLimits?: IntakeLimits;
 }
 
 export const newSystemEnvironment = (): Environment => ({
--- a/packages/anvilmux/src/http/PublicServer.ts
+++ b/packages/anvilmux/src/http/PublicServer.ts
@@ -2,7 +2,6 @@
 
 import { toAddress } from "@anvilmux/common";
 import type { Address } from "@anvilmux/common";
-import { Intake } from "@anvilmux/intake";
 import { newServiceToken } from "@anvilmux/kernel";
 import type { Kernel } from "@anvilmux/kernel";
 import express from "express";
@@ -16,7 +15,7 @@
 import { readSettingFile } from "../services/base";
 import { getIntakeLimits, getListenHost } from "../settings";
 import type { Settings } from "../settings";
-import { clockToken, lifecycleToken, loggerToken, metricsToken, timersToken } from "../tokens";
+import { intakeToken, lifecycleToken, metricsToken } from "../tokens";
 import { registerCallRoutes } from "./callRoutes";
 import { registerJobRoutes } from "./jobRoutes";
 import { registerOperatorRoutes } from "./operatorRoutes";
@@ -80,13 +79,7 @@
 
 const newHttpServer = (app: Express, kernel: Kernel, settings: Settings): Server | SecureServer => {
     const limits = getIntakeLimits(settings);
-    const intake = new Intake({
-        limits,
-        clock: kernel.get(clockToken),
-        timers: kernel.get(timersToken),
-        logger: kernel.get(loggerToken),
-        metrics: kernel.get(metricsToken),
-    });
+    const intake = kernel.get(intakeToken);
     const isSecure = settings["tls-certificate"] !== "";
     const server = isSecure
         ? createSecureServer({
--- a/packages/anvilmux/src/roles/ControlInstance.ts
+++ b/packages/anvilmux/src/roles/ControlInstance.ts
@@ -6,6 +6,7 @@
 import type { ZoneDrainRecords } from "@anvilmux/control";
 import type { WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
 import { ControlHub } from "@anvilmux/fleet";
+import type { Intake } from "@anvilmux/intake";
 import { Kernel } from "@anvilmux/kernel";
 import { ChannelChecker } from "@anvilmux/links";
 import type { CommandResult } from "@anvilmux/protocol";
@@ -20,6 +21,7 @@
     configurationToken,
     controlClientToken,
     controlToken,
+    intakeToken,
     knownZonesToken,
     loggerToken,
     membershipToken,
@@ -78,6 +80,7 @@
             checker: this.checker,
             environment: { ...environment, logger },
             metrics: this.metrics,
+            guard: this.intake.peerGuard,
             onEntryConnected: ({ zone }) => knownZones.recordEntry(toZoneId(zone)),
             configuration: {
                 getIndex: () => configuration.index,
@@ -109,6 +112,11 @@
         return this.kernel.get(metricsToken);
     }
 
+    /** Bounds what clients make the process hold; also for servers that others add. */
+    get intake(): Intake {
+        return this.kernel.get(intakeToken);
+    }
+
     handleWorkerAnnouncement(announcement: WorkerAnnouncement): void {
         this.kernel.find(knownZonesToken)?.recordZone(announcement.zone);
         this.hub?.handleWorkerAnnouncement(announcement);
--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -20,6 +20,7 @@
 } from "@anvilmux/dispatch";
 import { ControlLinks, DrainedZones, WorkerDirectory, WorkerReplication, ZonePeers } from "@anvilmux/fleet";
 import type { EntryMember, ZoneOwner } from "@anvilmux/fleet";
+import type { ConnectionGuard } from "@anvilmux/intake";
 import { ChannelChecker, heartbeatTimeoutMs } from "@anvilmux/links";
 import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
 import { getProcessorTime, LoopDelayMonitor } from "@anvilmux/telemetry";
@@ -44,6 +45,8 @@
     readonly controlSeeds: readonly Address[];
     readonly authority: ManifestAuthority;
     readonly connectWorker: ConnectWorker;
+    /** Bounds the connections that other instances open; unlimited when absent. */
+    readonly guard?: ConnectionGuard;
     readonly environment: Environment;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -288,6 +291,7 @@
             host: listenHost,
             port: linkPort,
             checker: this.checker,
+            guard: this.options.guard,
             environment: { ...environment, logger },
             getState: () => ({ claim: this.election.claim, fitness: this.getFitness() }),
             getOwnerId: () => this.election.ownerId,
--- a/packages/anvilmux/src/services/base.ts
+++ b/packages/anvilmux/src/services/base.ts
@@ -1,16 +1,19 @@
 /** Services that depend on no other instance: settings, time, randomness, logs, metrics, tracing and manifest keys. */
 
+import { Intake } from "@anvilmux/intake";
 import type { Kernel } from "@anvilmux/kernel";
 import { newSignedAuthority } from "@anvilmux/manifest";
 import { DecisionLog, Metrics, newLogger, newTracing } from "@anvilmux/telemetry";
 import { readFileSync } from "node:fs";
 import type { Environment } from "../environment";
 import { InstanceError } from "../errors";
+import { getIntakeLimits } from "../settings";
 import type { Settings } from "../settings";
 import {
     authorityToken,
     clockToken,
     decisionsToken,
+    intakeToken,
     loggerToken,
     metricsToken,
     randomToken,
@@ -47,6 +50,18 @@
             start: () => newLogger(settings["log-level"], { instance: settings["instance-id"], zone: settings.zone }),
         })
         .define({ token: metricsToken, start: () => new Metrics() })
+        .define({
+            token: intakeToken,
+            requires: [clockToken, timersToken, loggerToken, metricsToken],
+            start: () =>
+                new Intake({
+                    limits: environment.intakeLimits ?? getIntakeLimits(settings),
+                    clock: environment.clock,
+                    timers: environment.timers,
+                    logger: kernel.get(loggerToken),
+                    metrics: kernel.get(metricsToken),
+                }),
+        })
         .define({ token: decisionsToken, start: () => new DecisionLog(environment.clock) })
         .define({
             token: authorityToken,
--- a/packages/anvilmux/src/services/entry.ts
+++ b/packages/anvilmux/src/services/entry.ts
@@ -23,6 +23,7 @@
     configurationToken,
     controlClientToken,
     decisionsToken,
+    intakeToken,
     jobsToken,
     lifecycleToken,
     loadReportToken,
@@ -91,7 +92,7 @@
         })
         .define({
             token: publicServerToken,
-            requires: [callsToken, jobsToken, tracingToken, loggerToken, metricsToken, clockToken, timersToken],
+            requires: [callsToken, jobsToken, tracingToken, metricsToken, intakeToken],
             start: () => PublicServer.listen(kernel, settings),
             stop: server => server.close(),
         })
--- a/packages/anvilmux/src/tokens.ts
+++ b/packages/anvilmux/src/tokens.ts
@@ -2,6 +2,7 @@
 
 import type { Clock, Random, Timers, Unsubscribe } from "@anvilmux/common";
 import type { ConfigurationHolder, ControlClient, ControlService } from "@anvilmux/control";
+import type { Intake } from "@anvilmux/intake";
 import type { JobManager, TaskPool } from "@anvilmux/jobs";
 import { newServiceToken } from "@anvilmux/kernel";
 import type { ManifestAuthority } from "@anvilmux/manifest";
@@ -20,6 +21,8 @@
 export const timersToken = newServiceToken<Timers>("timers");
 export const randomToken = newServiceToken<Random>("random");
 export const loggerToken = newServiceToken<Logger>("logger");
+/** Bounds what clients and unknown instances make the process hold. */
+export const intakeToken = newServiceToken<Intake>("intake");
 export const metricsToken = newServiceToken<Metrics>("metrics");
 export const tracingToken = newServiceToken<Tracing>("tracing");
 export const decisionsToken = newServiceToken<DecisionLog>("decisions");
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./errors";
 export * from "./Files";
 export * from "./ids";
+export * from "./jsonValues";
 export * from "./MemoryFiles";
 export * from "./Mutex";
 export * from "./PauseDetector";
--- a/packages/fleet/src/ControlHub.ts
+++ b/packages/fleet/src/ControlHub.ts
@@ -5,6 +5,7 @@
 
 import type { Address, Unsubscribe } from "@anvilmux/common";
 import type { WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
+import type { ConnectionGuard } from "@anvilmux/intake";
 import { closedByPeer, encodeMessage, LinkServer } from "@anvilmux/links";
 import type { ChannelChecker, EncodedMessage, LinkConnection, LinkEnvironment, Session } from "@anvilmux/links";
 import type { Metrics } from "@anvilmux/telemetry";
@@ -37,6 +38,8 @@
     readonly checker: ChannelChecker;
     readonly environment: LinkEnvironment;
     readonly metrics: Metrics;
+    /** Bounds the connections of entries; unlimited when absent. */
+    readonly guard?: ConnectionGuard | undefined;
     /** Called for each entry that connects. */
     readonly onEntryConnected?: (member: EntryMember) => void;
     readonly configuration: ConfigurationSource;
@@ -86,11 +89,12 @@
     }
 
     async start(): Promise<void> {
-        const { host, port, checker, environment } = this.options;
+        const { host, port, checker, environment, guard } = this.options;
         this.server = await LinkServer.listen<ToControl, FromControl>(environment, {
             host,
             port,
             checker,
+            guard,
             accept: connection => this.accept(connection),
         });
         this.unsubscribe = environment.timers.every(changeCheckPeriodMs, () => {
@@ -186,11 +190,12 @@
         return {
             onMessage: message => this.receive(entry, message),
             isUrgent: () => false,
+            isIdentified: () => entry.member !== undefined,
             onClose: reason => {
                 this.entries.delete(entry);
                 const { member } = entry;
-                this.options.environment.logger.warn("entry disconnected", { entry: member?.id, reason });
                 if (member) {
+                    this.options.environment.logger.warn("entry disconnected", { entry: member.id, reason });
                     this.announceMembersLater(member.zone);
                 }
                 if (member && entry.claim) {
@@ -212,6 +217,9 @@
 
     private receive(entry: ConnectedEntry, message: ToControl): void {
         checkMessage(message);
+        if ((message.type === "hello") === (entry.member !== undefined)) {
+            throw new Error("an entry has to say who it is once, with its first message");
+        }
         switch (message.type) {
             case "hello":
                 this.handleHello(entry, message);
--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -6,48 +6,18 @@
  */
 
 import type { Clock } from "@anvilmux/common";
-import type { Candidate, Fitness, FreeCapacity, WorkerAnnouncement } from "@anvilmux/dispatch";
+import type { Candidate, FreeCapacity } from "@anvilmux/dispatch";
 import { closedByPeer, connectTimeoutMs, Link, LinkServer } from "@anvilmux/links";
-import type { ChannelChecker, LinkConnection, LinkEnvironment, OpenSocket, Session } from "@anvilmux/links";
+import type { LinkConnection, Session } from "@anvilmux/links";
 import { checkMessage, selectAnnouncements } from "./checkMessages";
 import type { EntryMember, PeerMessage } from "./messages";
 import { determineNeededPeers } from "./neededPeers";
+import { findAbsentPeers } from "./peerRetention";
 import { RemoteOwnerConnections } from "./RemoteOwnerConnections";
 import { newZonePeer } from "./ZonePeer";
 import type { PeerConnection, ZonePeer } from "./ZonePeer";
+import type { ZonePeersOptions } from "./zonePeersOptions";
 
-export interface ZonePeersOptions {
-    readonly self: EntryMember;
-    readonly host: string;
-    readonly port: number;
-    readonly checker: ChannelChecker;
-    readonly environment: LinkEnvironment;
-    /** Opens TCP connections when absent. */
-    readonly openSocket?: OpenSocket;
-    readonly getState: () => { readonly claim: number; readonly fitness: Fitness; };
-    /** The owner of the zone's workers, as known to this entry. */
-    readonly getOwnerId: () => string | undefined;
-    /** True while jobs of this entry are at the peer, or jobs that came over the connection are here. */
-    readonly hasOpenJobs: (peerId: string | undefined, submitterKey: string) => boolean;
-    /** Called when an entry connected, disconnected or reported its state. */
-    readonly onChange: () => void;
-    /** The free capacity of this zone that owners of other zones may use. */
-    readonly getFreeCapacity: () => FreeCapacity;
-    readonly getWorkers: () => readonly WorkerAnnouncement[];
-    readonly onWorkers: (workers: readonly WorkerAnnouncement[]) => void;
-    /** Called for any other message; `peerId` is undefined for the owner of another zone. */
-    readonly onMessage: (message: PeerMessage, connection: PeerConnection, peerId: string | undefined) => void;
-    readonly onPeerConnected: (peerId: string) => void;
-    /**
-     * Called when the connection to a peer was lost; messages sent on it may not have arrived. `isNoticedByPeer`: the
-     * peer ended it, or its process did not go on.
-     */
-    readonly onPeerDisconnected: (peerId: string, isNoticedByPeer: boolean) => void;
-    readonly onSubmitterDisconnected: (submitterKey: string) => void;
-}
-
-/** Time after which the next member list removes a peer that is neither listed nor connected. */
-const peerRetentionMs = 60_000;
 /** Time for which a connection that this entry no longer needs is kept. */
 const unneededRetentionMs = 10_000;
 
@@ -72,11 +42,12 @@
     }
 
     async start(): Promise<void> {
-        const { host, port, checker, environment } = this.options;
+        const { host, port, checker, environment, guard } = this.options;
         this.server = await LinkServer.listen<PeerMessage, PeerMessage>(environment, {
             host,
             port,
             checker,
+            guard,
             accept: connection => this.accept(connection),
         });
     }
@@ -208,6 +179,8 @@
         }
         if (!present) {
             this.peers.set(member.id, newZonePeer(member, this.clock.now()));
+        }
+        if (!present) {
             return;
         }
         present.knownAt = this.clock.now();
@@ -272,6 +245,7 @@
             fitnessSince: this.clock.now(),
         };
         let peerId = openedPeerId;
+        const isIdentified = () => peerId !== undefined || this.remoteOwners.has(connection);
         // Asked now, so that the first job that comes over the connection need not wait for an answer.
         whenPeerPresent(() => undefined);
         if (openedPeerId !== undefined) {
@@ -297,6 +271,7 @@
             },
             onClose: reason => this.handleClosed(connection, peerId, reason),
             isUrgent: () => this.isUrgent(connection, peerId),
+            isIdentified,
         };
     }
 
@@ -387,13 +362,12 @@
             || hasOpenJobs(peerId, connection.submitterKey);
     }
 
+    private forget(peer: ZonePeer): void {
+        this.peers.delete(peer.id);
+        this.disconnect(peer);
+    }
+
     private removeAbsentPeers(): void {
-        const now = this.clock.now();
-        for (const peer of [...this.peers.values()]) {
-            if (!peer.connection && now - peer.knownAt > peerRetentionMs) {
-                this.peers.delete(peer.id);
-                this.disconnect(peer);
-            }
-        }
+        findAbsentPeers(this.peers.values(), this.clock.now()).forEach(peer => this.forget(peer));
     }
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -12,4 +12,5 @@
 export * from "./WorkerSharing";
 export * from "./ZonePeer";
 export * from "./ZonePeers";
+export type { ZonePeersOptions } from "./zonePeersOptions";
 export * from "./zoneStructure";
--- a/packages/intake/src/Intake.ts
+++ b/packages/intake/src/Intake.ts
@@ -10,6 +10,7 @@
 import type { Socket } from "node:net";
 import { attachSocket } from "./attachedSockets";
 import type { BodyHost } from "./BodyHost";
+import type { ConnectionGuard } from "./ConnectionGuard";
 import { Connections } from "./Connections";
 import type { ClientConnection } from "./Connections";
 import { bodyCopies, connectionBytes, requestBytes } from "./limits";
@@ -73,6 +74,15 @@
         metrics.gauge("anvilmux_client_memory_bytes", {}, () => this.budget.heldBytes);
     }
 
+    /** For a listener of other instances, which shares the memory for clients. */
+    get peerGuard(): ConnectionGuard {
+        return {
+            budget: this.budget,
+            maximumConnections: this.options.limits.peerConnections,
+            report: (cause, address) => this.refusals.report(cause, address),
+        };
+    }
+
     /** Options for the creation of a server that is guarded. */
     get serverOptions(): ServerOptions {
         const { limits } = this.options;
--- a/packages/intake/src/Refusals.ts
+++ b/packages/intake/src/Refusals.ts
@@ -13,7 +13,9 @@
     | "connections"
     | "timeout"
     | "headers-too-large"
-    | "malformed";
+    | "malformed"
+    /** A connection to a port for other instances that did not say in time, or not first, who it is. */
+    | "unknown-peer";
 
 export interface RefusalsOptions {
     readonly clock: Clock;
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,6 +1,7 @@
 /** Bounds what clients over HTTP can make a process hold: memory, connections, requests in progress and time. */
 export { untilInputRead } from "./attachedSockets";
 export * from "./BodyHost";
+export * from "./ConnectionGuard";
 export * from "./Connections";
 export * from "./Intake";
 export * from "./limits";
--- a/packages/intake/src/limits.ts
+++ b/packages/intake/src/limits.ts
@@ -11,6 +11,8 @@
     readonly addressShare: number;
     /** Open connections of all servers of the process. */
     readonly connections: number;
+    /** Open connections of each listener for other instances. */
+    readonly peerConnections: number;
     /** Requests of one connection without a complete response. */
     readonly openRequests: number;
     /** Bodies in very small chunks that are read at a time. */
@@ -49,6 +51,10 @@
 const defaultAddressShare = 0.75;
 /** The other descriptors are for workers, other instances and files. */
 const connectionShareOfDescriptors = 0.5;
+/** Two listeners for instances take at most a quarter of the descriptors. */
+const peerConnectionShareOfDescriptors = 0.125;
+/** Entries of a zone, owners of other zones or control instances, several times over. */
+const leastPeerConnections = 256;
 /** Without a bound, idle connections alone could exhaust the memory of all clients. */
 const connectionShareOfMemory = 0.5;
 
@@ -74,6 +80,10 @@
             descriptors * connectionShareOfDescriptors,
             memoryBytes * connectionShareOfMemory / connectionBytes,
         )),
+        peerConnections: Math.max(
+            leastPeerConnections,
+            Math.floor(descriptors * peerConnectionShareOfDescriptors),
+        ),
         openRequests: 64,
         fragmentedBodies: 2,
         // A client may open a connection, use it after an idle time of 15 s, and take 3 s for its headers.
--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -9,21 +9,26 @@
  * must not be old waits until the peer has answered a probe (`whenPeerPresent`).
  */
 
-import { atTurnEnd, getErrorMessage, safeParseJson } from "@anvilmux/common";
+import { atTurnEnd, getErrorMessage, hasMoreValues, safeParseJson } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import type { Socket } from "node:net";
-import { StringDecoder } from "node:string_decoder";
+import { noGuard } from "./ChannelGuard";
+import type { ChannelGuard } from "./ChannelGuard";
 import {
     doubtfulSilenceMs,
     heartbeatPeriodMs,
     heartbeatTimeoutMs,
+    identificationTimeoutMs,
     idleHeartbeatPeriodMs,
     idleHeartbeatTimeoutMs,
+    maximumFirstLineCharacters,
     maximumLineCharacters,
+    maximumLineValues,
     maximumUnsentBytes,
 } from "./constants";
 import { encodeMessage } from "./encodeMessage";
 import type { EncodedMessage } from "./encodeMessage";
+import { LineReader } from "./LineReader";
 import type { LinkMessage } from "./types";
 
 export interface ChannelListener<Incoming extends LinkMessage> {
@@ -43,8 +48,13 @@
 const loggedCharacters = 80;
 
 export class Channel<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
-    private readonly decoder = new StringDecoder("utf8");
-    private partial = "";
+    private readonly reader = new LineReader();
+    /** Bytes charged for the incomplete line, and for what the peer has not read. */
+    private chargedForLine = 0;
+    private chargedForOutput = 0;
+    /** Since when the connection is open, and since when it has an incomplete line. */
+    private openSince: Milliseconds;
+    private lineSince: Milliseconds | undefined;
     private unsent: string[] = [];
     private receivedAt: Milliseconds;
     private probedAt: Milliseconds;
@@ -64,13 +74,16 @@
         private readonly socket: Socket,
         private readonly clock: Clock,
         private readonly listener: ChannelListener<Incoming>,
+        private readonly guard: ChannelGuard = noGuard,
     ) {
         this.receivedAt = clock.now();
         this.probedAt = this.receivedAt;
+        this.openSince = this.receivedAt;
         socket.setNoDelay(true);
         socket.on("data", bytes => this.receive(bytes));
         socket.on("error", error => this.close(getErrorMessage(error)));
         socket.on("close", () => this.close(closedByPeer));
+        socket.on("drain", () => this.releaseOutput());
     }
 
     get isOpen(): boolean {
@@ -112,6 +125,16 @@
         const isUrgent = this.listener.isUrgent?.() ?? true;
         this.urgentSince = isUrgent ? this.urgentSince ?? now : undefined;
         const timeout = isUrgent ? heartbeatTimeoutMs : idleHeartbeatTimeoutMs;
+        if (!this.guard.isIdentified() && now - this.openSince > identificationTimeoutMs) {
+            this.guard.onRefuse("unknown-peer");
+            this.close(`did not say who it is within ${identificationTimeoutMs} ms`);
+            return;
+        }
+        if (now - (this.lineSince ?? now) > this.guard.lineTimeoutMs) {
+            this.guard.onRefuse("timeout");
+            this.close(`line not complete within ${this.guard.lineTimeoutMs} ms`);
+            return;
+        }
         if (now - Math.max(this.receivedAt, this.urgentSince ?? 0) > timeout) {
             this.close(`received nothing for ${Math.round(now - this.receivedAt)} ms`);
             return;
@@ -122,9 +145,11 @@
         }
     }
 
-    /** Restarts the heartbeat timeout of the peer; used after this process itself stalled. */
+    /** Restarts the timeouts of the peer; used after this process itself stalled. */
     resetHeartbeatTimeout(): void {
         this.receivedAt = this.clock.now();
+        this.openSince = this.receivedAt;
+        this.lineSince = this.lineSince === undefined ? undefined : this.receivedAt;
         this.doubtPeer();
     }
 
@@ -142,6 +167,8 @@
             return;
         }
         this.closed = true;
+        this.reader.clear();
+        this.unsent = [];
         this.socket.destroy();
         this.listener.onClose(reason);
     }
@@ -201,7 +228,25 @@
             this.close("the peer reads too slowly");
             return;
         }
-        this.socket.write(text);
+        if (!this.socket.write(text)) {
+            this.chargeOutput(text.length);
+        }
+    }
+
+    /** Charges what waits until the peer reads; a peer that reads what it is sent is not charged. */
+    private chargeOutput(bytes: number): void {
+        if (this.guard.charge(bytes)) {
+            this.chargedForOutput += bytes;
+        }
+        else {
+            this.guard.onRefuse("unread-responses");
+            this.close("the peer reads too slowly");
+        }
+    }
+
+    private releaseOutput(): void {
+        this.guard.release(this.chargedForOutput);
+        this.chargedForOutput = 0;
     }
 
     private receive(bytes: Buffer): void {
@@ -210,17 +255,36 @@
             this.doubtPeer();
         }
         this.receivedAt = now;
-        const lines = (this.partial + this.decoder.write(bytes)).split("\n");
-        this.partial = lines.pop() ?? "";
-        if (this.partial.length > maximumLineCharacters) {
-            this.close("line too long");
-            return;
-        }
+        const lines = this.reader.read(bytes);
         for (const line of lines) {
             if (!this.closed) {
                 this.receiveLine(line);
             }
         }
+        if (!this.closed) {
+            const lineSince = lines.length > 0 ? now : this.lineSince ?? now;
+            this.lineSince = this.reader.heldCharacters > 0 ? lineSince : undefined;
+            this.checkIncompleteLine();
+        }
+    }
+
+    /** Charges the incomplete line; closes the channel when it is too long, or the memory does not suffice. */
+    private checkIncompleteLine(): void {
+        const { heldCharacters } = this.reader;
+        const limit = this.guard.isIdentified() ? maximumLineCharacters : maximumFirstLineCharacters;
+        if (heldCharacters > limit) {
+            this.guard.onRefuse("too-large");
+            this.close("line too long");
+            return;
+        }
+        const growth = heldCharacters - this.chargedForLine;
+        if (growth > 0 && !this.guard.charge(growth)) {
+            this.guard.onRefuse("memory");
+            this.close("line too long for the memory that is left");
+            return;
+        }
+        this.guard.release(Math.max(0, -growth));
+        this.chargedForLine = heldCharacters;
     }
 
     private receiveLine(line: string): void {
@@ -236,6 +300,11 @@
     }
 
     private deliver(line: string): void {
+        if (hasMoreValues(line, maximumLineValues)) {
+            this.guard.onRefuse("too-large");
+            this.close("line with too many values");
+            return;
+        }
         const message = parseMessage<Incoming>(line);
         if (!message) {
             this.close(`unreadable line: ${line.slice(0, loggedCharacters)}`);
--- a/packages/links/src/LinkServer.ts
+++ b/packages/links/src/LinkServer.ts
@@ -2,10 +2,15 @@
 
 import { toAddress } from "@anvilmux/common";
 import type { Address } from "@anvilmux/common";
+import { newUnlimitedGuard } from "@anvilmux/intake";
+import type { ConnectionGuard } from "@anvilmux/intake";
 import { createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
+import { AcceptedChannels } from "./AcceptedChannels";
+import type { AcceptedChannel } from "./AcceptedChannels";
 import { Channel } from "./Channel";
 import type { ChannelChecker } from "./ChannelChecker";
+import { channelBytes, lineTimeoutMs, maximumLineCharacters, maximumUnsentBytes } from "./constants";
 import { toLinkConnection } from "./toLinkConnection";
 import type { LinkConnection, LinkEnvironment, LinkMessage } from "./types";
 
@@ -15,23 +20,30 @@
     readonly onClose: (reason: string) => void;
     /** True while a failure of the peer has to be detected soon; always when absent. */
     readonly isUrgent?: () => boolean;
+    /** False until the peer has said who it is, which it has to do first; always true when absent. */
+    readonly isIdentified?: () => boolean;
 }
 
 export interface LinkServerOptions<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
     readonly host: string;
     readonly port: number;
     readonly checker: ChannelChecker;
+    /** Unlimited when absent. */
+    readonly guard?: ConnectionGuard | undefined;
     readonly accept: (connection: LinkConnection<Outgoing>) => Session<Incoming>;
 }
 
 export class LinkServer<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
-    private readonly channels = new Set<Channel<Incoming, Outgoing>>();
+    private readonly channels: AcceptedChannels;
+    private readonly guard: ConnectionGuard;
 
     private constructor(
         private readonly server: Server,
         private readonly environment: LinkEnvironment,
         private readonly options: LinkServerOptions<Incoming, Outgoing>,
     ) {
+        this.guard = options.guard ?? newUnlimitedGuard();
+        this.channels = new AcceptedChannels(this.guard);
         server.on("connection", socket => this.accept(socket));
     }
 
@@ -56,20 +68,38 @@
 
     close(): void {
         this.server.close();
-        [...this.channels].forEach(channel => channel.finish("stopped"));
+        this.channels.closeAll("stopped");
     }
 
     private accept(socket: Socket): void {
         let session: Session<Incoming> | undefined = undefined;
+        const { budget, report } = this.guard;
+        const address = socket.remoteAddress ?? "";
+        const isIdentified = () => session?.isIdentified?.() ?? true;
+        const accepted: AcceptedChannel = {
+            address,
+            account: budget.openAccount(address, channelBytes + maximumLineCharacters + maximumUnsentBytes),
+            isIdentified,
+            close: reason => channel.finish(reason),
+        };
         const channel: Channel<Incoming, Outgoing> = new Channel(socket, this.environment.clock, {
             onMessage: message => session?.onMessage(message),
             isUrgent: () => session?.isUrgent?.() ?? true,
             onClose: reason => {
-                this.channels.delete(channel);
+                this.channels.remove(accepted);
                 session?.onClose(reason);
             },
+        }, {
+            isIdentified,
+            lineTimeoutMs,
+            charge: bytes => accepted.account.charge(bytes) === undefined,
+            release: bytes => accepted.account.release(bytes),
+            onRefuse: cause => report(cause, address),
         });
-        this.channels.add(channel);
+        if (!this.channels.add(accepted, channelBytes)) {
+            channel.close("too many connections");
+            return;
+        }
         this.options.checker.add(channel);
         session = this.options.accept(toLinkConnection(channel));
     }
--- a/packages/links/src/constants.ts
+++ b/packages/links/src/constants.ts
@@ -24,3 +24,13 @@
 export const maximumUnsentBytes = 8 * 1_048_576;
 /** Length of an incomplete line above which the connection is closed. */
 export const maximumLineCharacters = 8 * 1_048_576;
+/** The same for an accepted connection that has not said who it is; the message that does has a few hundred. */
+export const maximumFirstLineCharacters = 65_536;
+/** Values of a line above which it is not parsed; the largest list of workers and the widest job have fewer. */
+export const maximumLineValues = 250_000;
+/** Time within which an accepted connection has to say who it is. */
+export const identificationTimeoutMs = 5_000;
+/** Time within which a line on an accepted connection must be complete; the longest takes 4 s at 17.5 Mbit/s. */
+export const lineTimeoutMs = 10_000;
+/** Memory of an accepted connection before what it receives and does not read. */
+export const channelBytes = 16_384;
--- a/packages/links/tests/Channel.test.ts
+++ b/packages/links/tests/Channel.test.ts
@@ -12,6 +12,7 @@
 import type { ChannelListener, LinkMessage } from "@anvilmux/links";
 import { EventEmitter } from "node:events";
 import type { Socket } from "node:net";
+import { StallingTime } from "./StallingTime";
 
 /** A socket that records writes and whose input is emitted by the test. */
 class FakeSocket extends EventEmitter {
@@ -278,19 +279,6 @@
     });
 });
 
-/** A clock that can jump while no timer fires, as when the process stalls. */
-class StallingTime extends VirtualTime {
-    private stalled = 0;
-
-    override now(): number {
-        return super.now() + this.stalled;
-    }
-
-    stall(length: number): void {
-        this.stalled += length;
-    }
-}
-
 describe("channel checker", () => {
     test("a stall of this process does not close the channels to its peers", async () => {
         const time = new StallingTime();
