--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -12,7 +12,7 @@
 import { checkMessage, selectAnnouncements } from "./checkMessages";
 import type { EntryMember, PeerMessage } from "./messages";
 import { determineNeededPeers } from "./neededPeers";
-import { findAbsentPeers } from "./peerRetention";
+import { findAbsentPeers, findDispensablePeer, maximumPeers } from "./peerRetention";
 import { RemoteOwnerConnections } from "./RemoteOwnerConnections";
 import { newZonePeer } from "./ZonePeer";
 import type { PeerConnection, ZonePeer } from "./ZonePeer";
@@ -177,7 +177,7 @@
         if (member.id === self.id || member.zone !== self.zone) {
             return;
         }
-        if (!present) {
+        if (!present && this.makeRoom()) {
             this.peers.set(member.id, newZonePeer(member, this.clock.now()));
         }
         if (!present) {
@@ -256,6 +256,9 @@
                 checkMessage(message);
                 switch (message.type) {
                     case "state":
+                        if (peerId !== undefined && message.member.id !== peerId) {
+                            throw new Error("a connection is that of one entry");
+                        }
                         peerId = message.member.id;
                         this.handleState(message, connection, openedPeerId === undefined);
                         return;
@@ -304,7 +307,11 @@
 
     /** The peer that reports its state; control may not have announced it, or its present incarnation, yet. */
     private recordConnected(member: EntryMember): ZonePeer {
-        const peer = this.peers.get(member.id) ?? newZonePeer(member, this.clock.now());
+        const present = this.peers.get(member.id);
+        if (!present && !this.makeRoom()) {
+            throw new Error(`more than ${maximumPeers} entries are known`);
+        }
+        const peer = present ?? newZonePeer(member, this.clock.now());
         this.peers.set(member.id, peer);
         if (member.incarnation > peer.member.incarnation) {
             peer.member = member;
@@ -362,6 +369,15 @@
             || hasOpenJobs(peerId, connection.submitterKey);
     }
 
+    /** False when too many entries are known and all of them are connected. */
+    private makeRoom(): boolean {
+        const dispensable = this.peers.size < maximumPeers ? undefined : findDispensablePeer(this.peers.values());
+        if (dispensable) {
+            this.forget(dispensable);
+        }
+        return this.peers.size < maximumPeers;
+    }
+
     private forget(peer: ZonePeer): void {
         this.peers.delete(peer.id);
         this.disconnect(peer);
--- a/packages/fleet/tests/ZonePeers.test.ts
+++ b/packages/fleet/tests/ZonePeers.test.ts
@@ -3,9 +3,10 @@
 import { toAddress, toJobId } from "@anvilmux/common";
 import { toTaskName, toWorkerId } from "@anvilmux/dispatch";
 import type { FreeCapacity, JobRequest } from "@anvilmux/dispatch";
-import { getLeadingEntries, ZonePeers } from "@anvilmux/fleet";
-import type { EntryMember, PeerConnection, PeerMessage } from "@anvilmux/fleet";
+import { getLeadingEntries, newZonePeer, ZonePeers } from "@anvilmux/fleet";
+import type { EntryMember, PeerConnection, PeerMessage, ZonePeer } from "@anvilmux/fleet";
 import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
+import { findDispensablePeer } from "../src/peerRetention";
 import { newChecker, newEnvironment, newMember } from "./loopback";
 import { dialRaw, listenRaw } from "./rawPeers";
 
@@ -241,6 +242,27 @@
     expect(entry.peers.getCandidates()).toEqual([]);
 }, 30_000);
 
+// Each name was remembered, and looked at whenever connections were reviewed.
+test("a connection on which ever new entries report themselves makes its entry remember all of them", async () => {
+    const entry = await startEntry("b");
+    const other = dialRaw(entry.port, cleanups);
+    const state = { type: "state", claim: 0, fitness: "ready", knownWorkers: 0 } as const;
+    const lines = ["c", "d", "e"].map(id => ({ ...state, member: newMember(id, "z1", 1) }));
+    other.send(...toLines(lines));
+    await waitUntil(() => other.closed);
+    expect(entry.peers.getCandidates()).toEqual([]);
+}, 30_000);
+
+test("ever new entries in member lists are remembered for good, or replace those that are connected", () => {
+    const newPeer = (number: number, isConnected: boolean): ZonePeer => ({
+        ...newZonePeer(newMember(`e${number}`, "z1", 1), number),
+        connection: isConnected ? {} as PeerConnection : undefined,
+    });
+    const peers = [newPeer(1, true), newPeer(3, false), newPeer(2, false)];
+    expect(findDispensablePeer(peers)?.id).toBe("e2");
+    expect(findDispensablePeer([newPeer(1, true)])).toBeUndefined();
+});
+
 describe("structure of a zone", () => {
     const startZone = async (count: number): Promise<readonly EntryFixture[]> => {
         const ids = Array.from({ length: count }, (_, index) => `e${String(index).padStart(2, "0")}`);
