Control reads nothing of a message whose sender gives no peer secret, and closes silent connections

What callers saw: 40 connections over HTTP/2 to the port between control instances, with calls of 4 MB each and without a secret, took 1,391 MB of a machine of 312. 2,200 silent connections stayed for good, with 3,467 descriptors in use.

Cause: the secret was checked by an interceptor, which runs once the message has been read and decoded: up to 8 MB for each of any number of calls. Nothing closed a connection without a call, and nothing counted them.

Change: the header is checked before the body is read, and the connection is closed half a second after the answer. A connection has 5 s for a request with a secret. It is charged to the memory for clients; the number is limited, and those without such a request make room for others. What both kinds of listeners share moved to packages/intake.

--- a/packages/anvilmux/src/services/peers.ts
+++ b/packages/anvilmux/src/services/peers.ts
@@ -10,6 +10,7 @@
 import type { Settings } from "../settings";
 import {
     clockToken,
+    intakeToken,
     loggerToken,
     membershipToken,
     metricsToken,
@@ -42,6 +43,7 @@
     kernel
         .define({
             token: peerServerToken,
+            requires: [intakeToken],
             start: () =>
                 PeerServer.listen({
                     host: getListenHost(settings),
@@ -49,6 +51,8 @@
                     port: settings["peer-port"],
                     secrets: getPeerSecrets(settings),
                     tls: readPeerTls(settings),
+                    guard: kernel.get(intakeToken).peerGuard,
+                    timers: environment.timers,
                     routes: router => registerPeerRoutes(router, kernel),
                 }),
             stop: server => server.close(),
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,4 +1,5 @@
 /** Bounds what clients over HTTP can make a process hold: memory, connections, requests in progress and time. */
+export * from "./AcceptedConnections";
 export { untilInputRead } from "./attachedSockets";
 export * from "./BodyHost";
 export * from "./ConnectionGuard";
--- a/packages/links/tests/AcceptedChannels.test.ts
+++ b/packages/intake/tests/AcceptedConnections.test.ts
@@ -1,41 +1,39 @@
 /** Which connections make room when too many are open, or the memory for clients is used up. */
 
-import { MemoryBudget } from "@anvilmux/intake";
-import type { RefusalCause } from "@anvilmux/intake";
-import { AcceptedChannels } from "../src/AcceptedChannels";
-import type { AcceptedChannel } from "../src/AcceptedChannels";
+import { AcceptedConnections, MemoryBudget } from "@anvilmux/intake";
+import type { AcceptedConnection, RefusalCause } from "@anvilmux/intake";
 
-const channelBytes = 10;
+const connectionBytes = 10;
 
 const newFixture = (maximumConnections: number, totalBytes = 1_000) => {
     const budget = new MemoryBudget({ totalBytes, addressBytes: totalBytes });
     const refusals: RefusalCause[] = [];
-    const channels = new AcceptedChannels({ budget, maximumConnections, report: cause => refusals.push(cause) });
+    const connections = new AcceptedConnections({ budget, maximumConnections, report: cause => refusals.push(cause) });
     const closed: string[] = [];
     const open = (name: string, address: string, isIdentified = false): boolean => {
-        const channel: AcceptedChannel = {
+        const connection: AcceptedConnection = {
             address,
             account: budget.openAccount(address, totalBytes),
             isIdentified: () => isIdentified,
             close: () => {
                 closed.push(name);
-                channels.remove(channel);
+                connections.remove(connection);
             },
         };
-        return channels.add(channel, channelBytes);
+        return connections.add(connection, connectionBytes);
     };
-    return { budget, channels, refusals, closed, open };
+    return { budget, connections, refusals, closed, open };
 };
 
 describe("connections of a listener for other instances", () => {
     test("that have not said who they are keep others out", () => {
-        const { channels, refusals, closed, open } = newFixture(3);
+        const { connections, refusals, closed, open } = newFixture(3);
         open("entry", "10.0.0.1", true);
         open("silent 1", "10.0.0.2");
         open("silent 2", "10.0.0.2");
         expect(open("other entry", "10.0.0.3", true)).toBe(true);
         expect(closed).toEqual(["silent 1"]);
-        expect(channels.count).toBe(3);
+        expect(connections.count).toBe(3);
         expect(refusals).toEqual(["connections"]);
     });
 
--- a/packages/links/src/LinkServer.ts
+++ b/packages/links/src/LinkServer.ts
@@ -2,12 +2,10 @@
 
 import { toAddress } from "@anvilmux/common";
 import type { Address } from "@anvilmux/common";
-import { newUnlimitedGuard } from "@anvilmux/intake";
-import type { ConnectionGuard } from "@anvilmux/intake";
+import { AcceptedConnections, newUnlimitedGuard } from "@anvilmux/intake";
+import type { AcceptedConnection, ConnectionGuard } from "@anvilmux/intake";
 import { createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
-import { AcceptedChannels } from "./AcceptedChannels";
-import type { AcceptedChannel } from "./AcceptedChannels";
 import { Channel } from "./Channel";
 import type { ChannelChecker } from "./ChannelChecker";
 import { channelBytes, lineTimeoutMs, maximumLineCharacters, maximumUnsentBytes } from "./constants";
@@ -34,7 +32,7 @@
 }
 
 export class LinkServer<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
-    private readonly channels: AcceptedChannels;
+    private readonly connections: AcceptedConnections;
     private readonly guard: ConnectionGuard;
 
     private constructor(
@@ -43,7 +41,7 @@
         private readonly options: LinkServerOptions<Incoming, Outgoing>,
     ) {
         this.guard = options.guard ?? newUnlimitedGuard();
-        this.channels = new AcceptedChannels(this.guard);
+        this.connections = new AcceptedConnections(this.guard);
         server.on("connection", socket => this.accept(socket));
     }
 
@@ -68,7 +66,7 @@
 
     close(): void {
         this.server.close();
-        this.channels.closeAll("stopped");
+        this.connections.closeAll("stopped");
     }
 
     private accept(socket: Socket): void {
@@ -76,7 +74,7 @@
         const { budget, report } = this.guard;
         const address = socket.remoteAddress ?? "";
         const isIdentified = () => session?.isIdentified?.() ?? true;
-        const accepted: AcceptedChannel = {
+        const accepted: AcceptedConnection = {
             address,
             account: budget.openAccount(address, channelBytes + maximumLineCharacters + maximumUnsentBytes),
             isIdentified,
@@ -86,7 +84,7 @@
             onMessage: message => session?.onMessage(message),
             isUrgent: () => session?.isUrgent?.() ?? true,
             onClose: reason => {
-                this.channels.remove(accepted);
+                this.connections.remove(accepted);
                 session?.onClose(reason);
             },
         }, {
@@ -96,7 +94,7 @@
             release: bytes => accepted.account.release(bytes),
             onRefuse: cause => report(cause, address),
         });
-        if (!this.channels.add(accepted, channelBytes)) {
+        if (!this.connections.add(accepted, channelBytes)) {
             channel.close("too many connections");
             return;
         }
--- a/packages/transport/src/PeerServer.ts
+++ b/packages/transport/src/PeerServer.ts
@@ -1,16 +1,18 @@
 /** HTTP/2 server for other instances; rejects requests without a valid peer secret before any handler runs. */
 
-import { toAddress } from "@anvilmux/common";
-import type { Address } from "@anvilmux/common";
-import { Code, ConnectError } from "@connectrpc/connect";
-import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
+import { newSystemTimers, toAddress } from "@anvilmux/common";
+import type { Address, Milliseconds, Timers } from "@anvilmux/common";
+import { newUnlimitedGuard } from "@anvilmux/intake";
+import type { ConnectionGuard } from "@anvilmux/intake";
+import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createSecureServer, createServer } from "node:http2";
 import type { Http2SecureServer, Http2Server } from "node:http2";
 import type { AddressInfo, Socket } from "node:net";
-import { isKnownSecret, peerSecretHeader } from "./credentials";
+import { authenticateRequests } from "./authenticateRequests";
 import type { PeerSecrets } from "./credentials";
 import { TransportError } from "./errors";
+import { PeerSessions } from "./PeerSessions";
 import type { PeerTls } from "./types";
 
 export interface PeerServerOptions {
@@ -21,17 +23,14 @@
     readonly port: number;
     readonly secrets: PeerSecrets;
     readonly tls?: PeerTls;
+    /** Bounds the connections; unlimited when absent. */
+    readonly guard?: ConnectionGuard;
+    readonly timers?: Timers;
     readonly routes: (router: ConnectRouter) => void;
 }
 
 const maximumMessageBytes = 8 * 1_048_576;
-
-const newAuthenticationInterceptor = (secrets: PeerSecrets): Interceptor => next => async request => {
-    if (!isKnownSecret(request.header.get(peerSecretHeader) ?? undefined, secrets)) {
-        throw new ConnectError("unknown peer", Code.Unauthenticated);
-    }
-    return next(request);
-};
+const handshakeTimeoutMs: Milliseconds = 5_000;
 
 export class PeerServer {
     private readonly sockets = new Set<Socket>();
@@ -41,13 +40,18 @@
     }
 
     static async listen(options: PeerServerOptions): Promise<PeerServer> {
-        const handler = connectNodeAdapter({
+        const guard = options.guard ?? newUnlimitedGuard();
+        const sessions = new PeerSessions(guard, options.timers ?? newSystemTimers());
+        const adapter = connectNodeAdapter({
             routes: router => {
                 options.routes(router);
             },
-            interceptors: [newAuthenticationInterceptor(options.secrets)],
             readMaxBytes: maximumMessageBytes,
         });
+        const handler = authenticateRequests(options.secrets, {
+            onAuthenticated: request => sessions.recordAuthenticated(request.stream.session),
+            onRejected: request => sessions.recordRejected(request.stream.session),
+        }, adapter);
         const server = options.tls
             ? createSecureServer({
                 cert: options.tls.certificatePem,
@@ -55,9 +59,15 @@
                 ca: options.tls.authorityPem,
                 requestCert: true,
                 rejectUnauthorized: true,
+                handshakeTimeout: handshakeTimeoutMs,
             }, handler)
             : createServer(handler);
         server.on("sessionError", () => undefined);
+        server.on("session", session => sessions.add(session));
+        if (options.tls && Number.isFinite(guard.maximumConnections)) {
+            // A session begins with the end of its TLS handshake.
+            server.maxConnections = guard.maximumConnections;
+        }
         await new Promise<void>((resolve, reject) => {
             server.once(
                 "error",
