An instance knows at most 10,000 workers, and 1,000 of a zone

Cause: only workers that had left were ever forgotten, above 10,000. Every announcement of a new id was told to each entry of its zone, whose owner opens connections to it, and kept. Zones were remembered by name without a bound.

Change: a new worker beyond 10,000, or 1,000 of its zone, takes the place of one that left; at control, where announcements arrive, also of one that has been silent for 30 s, which its entries are told has left. Workers that go on announcing themselves keep their places. Control knows 1,024 zones.

Ruled out: a bound for each client address. Workers may reach control through few addresses.

--- a/packages/anvilmux/src/KnownZones.ts
+++ b/packages/anvilmux/src/KnownZones.ts
@@ -11,6 +11,9 @@
 /** Time since the first entry was heard after which entries of all zones are expected to have been heard. */
 const introductionMs: Milliseconds = 3_000;
 
+/** Zones that are known at a time; many times those of the largest deployment. */
+const maximumZones = 1_024;
+
 export class KnownZones {
     private readonly zones = new Set<ZoneId>();
     private firstEntryAt: Milliseconds | undefined;
@@ -19,11 +22,13 @@
 
     /** Records the zone of a worker or of an instance that is no entry. */
     recordZone(zone: ZoneId): void {
-        this.zones.add(zone);
+        if (this.zones.size < maximumZones) {
+            this.zones.add(zone);
+        }
     }
 
     recordEntry(zone: ZoneId): void {
-        this.zones.add(zone);
+        this.recordZone(zone);
         this.firstEntryAt ??= this.clock.now();
     }
 
--- a/packages/anvilmux/src/roles/ControlInstance.ts
+++ b/packages/anvilmux/src/roles/ControlInstance.ts
@@ -117,9 +117,13 @@
         return this.kernel.get(intakeToken);
     }
 
-    handleWorkerAnnouncement(announcement: WorkerAnnouncement): void {
-        this.kernel.find(knownZonesToken)?.recordZone(announcement.zone);
-        this.hub?.handleWorkerAnnouncement(announcement);
+    /** False when the worker is refused, as too many are known. */
+    handleWorkerAnnouncement(announcement: WorkerAnnouncement): boolean {
+        const isKnown = this.hub?.handleWorkerAnnouncement(announcement) ?? false;
+        if (isKnown) {
+            this.kernel.find(knownZonesToken)?.recordZone(announcement.zone);
+        }
+        return isKnown;
     }
 
     handleWorkerLeft(id: WorkerId): void {
--- a/packages/anvilmux/tests/zoneDrains.test.ts
+++ b/packages/anvilmux/tests/zoneDrains.test.ts
@@ -62,7 +62,7 @@
     return control;
 };
 
-const announceWorker = (control: ControlInstance): void =>
+const announceWorker = (control: ControlInstance): boolean =>
     control.handleWorkerAnnouncement({
         id: toWorkerId("w1"),
         incarnation: 1,
--- a/packages/fleet/src/ControlHub.ts
+++ b/packages/fleet/src/ControlHub.ts
@@ -83,7 +83,10 @@
     private cancelMemberBatch: Unsubscribe = () => undefined;
 
     constructor(private readonly options: ControlHubOptions) {
-        this.workers = new WorkerDirectory(options.environment.clock);
+        this.workers = new WorkerDirectory(options.environment.clock, {
+            hearsAll: true,
+            onForgotten: worker => this.handleForgotten(worker),
+        });
         this.formerOwners = new FormerOwners(options.environment.clock);
         options.metrics.gauge("anvilmux_connected_entries", {}, () => this.entries.size);
     }
@@ -115,13 +118,31 @@
         this.cancelMemberBatch();
     }
 
-    /** Records a worker's announcement and forwards it to the entries of its zone when its content changed. */
-    handleWorkerAnnouncement(announcement: WorkerAnnouncement): void {
-        if (!this.workers.record(announcement)) {
-            return;
+    /**
+     * Records a worker's announcement and forwards it to the entries of its zone when its content changed. False when
+     * it is refused, as too many workers are known.
+     */
+    handleWorkerAnnouncement(announcement: WorkerAnnouncement): boolean {
+        if (this.workers.record(announcement)) {
+            this.logWorker(announcement);
+            this.sendToZone(announcement.zone, { type: "workers", workers: [announcement] });
+        }
+        const isKnown = this.workers.has(announcement.id);
+        if (!isKnown) {
+            this.options.metrics.count("anvilmux_refused_workers_total");
+        }
+        return isKnown;
+    }
+
+    /** Tells the entries of its zone that a worker is gone that gave its place to another one. */
+    private handleForgotten(worker: WorkerAnnouncement): void {
+        if (worker.state !== "left") {
+            this.options.environment.logger.warn("silent worker forgotten in favour of a new one", {
+                worker: worker.id,
+                workerZone: worker.zone,
+            });
+            this.sendToZone(worker.zone, { type: "workers", workers: [{ ...worker, state: "left" }] });
         }
-        this.logWorker(announcement);
-        this.sendToZone(announcement.zone, { type: "workers", workers: [announcement] });
     }
 
     handleWorkerLeft(id: WorkerId): void {
--- a/packages/fleet/src/WorkerDirectory.ts
+++ b/packages/fleet/src/WorkerDirectory.ts
@@ -3,38 +3,61 @@
 import { newSystemClock } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
 import type { WorkerAnnouncement, WorkerId } from "@anvilmux/dispatch";
+import { defaultWorkerLimits, findDispensableWorker, WorkerPlaces } from "./WorkerPlaces";
+import type { WorkerLimits } from "./WorkerPlaces";
 
-/**
- * Number of workers above which the worker in state `left` with the oldest announcement is removed. Such workers are
- * kept until then, so that a late announcement does not add them again.
- */
-const maximumWorkers = 10_000;
 /**
  * A smaller change of the time at which a worker is no longer cold is not reported, as each heartbeat states it anew.
  */
 const coldToleranceMs = 1_000;
 
+interface KnownWorker {
+    readonly announcement: WorkerAnnouncement;
+    readonly heardAt: Milliseconds;
+}
+
+export interface WorkerDirectoryOptions {
+    readonly limits?: WorkerLimits;
+    /** Where every announcement of a worker arrives: one that is silent makes room for others. */
+    readonly hearsAll?: boolean;
+    /** Called for a worker that was forgotten in favour of a new one. */
+    readonly onForgotten?: (worker: WorkerAnnouncement) => void;
+}
+
 export class WorkerDirectory {
-    private readonly workers = new Map<WorkerId, WorkerAnnouncement>();
+    /** Those heard of longest ago first. Workers that left are kept, so that a late announcement does not add them. */
+    private readonly workers = new Map<WorkerId, KnownWorker>();
+    private readonly places: WorkerPlaces;
     /** When each worker that was cold is no longer, as last reported as a change. */
     private readonly coldUntil = new Map<WorkerId, Milliseconds>();
 
-    constructor(private readonly clock: Pick<Clock, "now"> = newSystemClock()) {}
+    constructor(
+        private readonly clock: Pick<Clock, "now"> = newSystemClock(),
+        private readonly options: WorkerDirectoryOptions = {},
+    ) {
+        this.places = new WorkerPlaces(options.limits ?? defaultWorkerLimits);
+    }
 
     /** The latest announcement of each worker, with the time for which it is still cold. */
     getAll(): readonly WorkerAnnouncement[] {
-        return [...this.workers.values()].map(worker => this.toPresent(worker));
+        return [...this.workers.values()].map(({ announcement }) => this.toPresent(announcement));
+    }
+
+    /** False for a worker that was refused, as too many others are known. */
+    has(id: WorkerId): boolean {
+        return this.workers.has(id);
     }
 
     /** Records an announcement; true when it is newer than the known one and its content differs. */
     record(announcement: WorkerAnnouncement): boolean {
-        const present = this.workers.get(announcement.id);
+        const present = this.workers.get(announcement.id)?.announcement;
         if (present && !isNewer(announcement, present)) {
             return false;
         }
-        this.workers.delete(announcement.id);
-        this.workers.set(announcement.id, announcement);
-        this.removeLeftWorker();
+        if (!present && !this.makeRoom(announcement.zone)) {
+            return false;
+        }
+        this.set(announcement);
         const isChanged = !present || !hasSameContent(announcement, present) || this.isColdChanged(announcement);
         if (isChanged) {
             this.recordCold(announcement);
@@ -44,12 +67,12 @@
 
     /** Marks a worker as left; undefined when it is unknown or already marked. */
     markLeft(id: WorkerId): WorkerAnnouncement | undefined {
-        const present = this.workers.get(id);
+        const present = this.workers.get(id)?.announcement;
         if (!present || present.state === "left") {
             return undefined;
         }
         const left: WorkerAnnouncement = { ...this.toPresent(present), state: "left" };
-        this.workers.set(id, left);
+        this.set(left);
         return left;
     }
 
@@ -80,17 +103,35 @@
         return { ...worker, coldForMs: Math.max(0, remainingMs) };
     }
 
-    private removeLeftWorker(): void {
-        if (this.workers.size <= maximumWorkers) {
-            return;
+    private set(announcement: WorkerAnnouncement): void {
+        this.remove(announcement.id);
+        this.workers.set(announcement.id, { announcement, heardAt: this.clock.now() });
+        this.places.add(announcement);
+    }
+
+    private remove(id: WorkerId): void {
+        const present = this.workers.get(id)?.announcement;
+        if (present) {
+            this.workers.delete(id);
+            this.places.remove(present);
         }
-        for (const worker of this.workers.values()) {
-            if (worker.state === "left") {
-                this.workers.delete(worker.id);
-                this.coldUntil.delete(worker.id);
-                return;
-            }
+    }
+
+    /** False when no known worker gives its place to a new one of the zone. */
+    private makeRoom(zone: string): boolean {
+        const isZoneFull = this.places.isZoneFull(zone);
+        if (!isZoneFull && !this.places.isFull) {
+            return true;
+        }
+        const now = this.options.hearsAll ? this.clock.now() : -Infinity;
+        const dispensable = findDispensableWorker(this.workers.values(), now, isZoneFull ? zone : undefined);
+        if (!dispensable) {
+            return false;
         }
+        this.remove(dispensable.id);
+        this.coldUntil.delete(dispensable.id);
+        this.options.onForgotten?.(dispensable);
+        return true;
     }
 }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./WorkerCoverage";
 export * from "./WorkerDirectory";
 export * from "./workerNotices";
+export * from "./WorkerPlaces";
 export * from "./WorkerReplication";
 export * from "./WorkerSharing";
 export * from "./ZonePeer";
--- a/packages/fleet/tests/WorkerDirectory.test.ts
+++ b/packages/fleet/tests/WorkerDirectory.test.ts
@@ -1,6 +1,6 @@
 /** The newest announcement of each worker takes precedence over those that arrive late. */
 
-import { toAddress, toZoneId } from "@anvilmux/common";
+import { toAddress, toZoneId, VirtualTime } from "@anvilmux/common";
 import { toWorkerId } from "@anvilmux/dispatch";
 import type { WorkerAnnouncement } from "@anvilmux/dispatch";
 import { WorkerDirectory } from "@anvilmux/fleet";
@@ -79,3 +79,64 @@
         );
     });
 });
+
+describe("places for workers", () => {
+    const silenceMs = 30_000;
+    const newFixture = (hearsAll: boolean) => {
+        const time = new VirtualTime();
+        const forgotten: string[] = [];
+        const directory = new WorkerDirectory(time, {
+            limits: { total: 5, perZone: 3 },
+            hearsAll,
+            onForgotten: ({ id }) => forgotten.push(id),
+        });
+        const record = (id: string, zone = "z", sequence = 1) =>
+            directory.record(newAnnouncement({ id: toWorkerId(id), zone: toZoneId(zone), sequence }));
+        return { time, forgotten, directory, record };
+    };
+
+    // Control took any number of workers, and every entry of the zone connected to each.
+    test("are given to ever new workers of a zone, or taken from those that are heard of", async () => {
+        const { time, forgotten, directory, record } = newFixture(true);
+        ["a", "b", "c"].forEach(id => record(id));
+        await time.advance(silenceMs - 1);
+        record("a", "z", 2);
+        expect(record("d")).toBe(false);
+        expect(directory.has(toWorkerId("d"))).toBe(false);
+        expect(record("e", "other zone")).toBe(true);
+        await time.advance(2);
+        expect(record("d")).toBe(true);
+        expect(forgotten).toEqual(["b"]);
+        expect(directory.has(toWorkerId("a"))).toBe(true);
+    });
+
+    test("are given to workers of ever new zones", () => {
+        const { directory, record } = newFixture(true);
+        ["a", "b", "c", "d", "e", "f"].forEach(id => record(id, `zone of ${id}`));
+        expect(directory.getAll()).toHaveLength(5);
+    });
+
+    test("are kept by workers that left", () => {
+        const { forgotten, directory, record } = newFixture(false);
+        ["a", "b", "c"].forEach(id => record(id));
+        directory.markLeft(toWorkerId("b"));
+        expect(record("d")).toBe(true);
+        expect(forgotten).toEqual(["b"]);
+    });
+
+    // An entry is told of changes only, and not of every announcement.
+    test("are lost to silence where announcements do not arrive", async () => {
+        const { time, record } = newFixture(false);
+        ["a", "b", "c"].forEach(id => record(id));
+        await time.advance(2 * silenceMs);
+        expect(record("d")).toBe(false);
+    });
+
+    test("stay taken by a worker that moved to another zone", () => {
+        const { record } = newFixture(true);
+        ["a", "b", "c"].forEach(id => record(id));
+        record("a", "other zone", 2);
+        expect(record("d")).toBe(true);
+        expect(record("e")).toBe(false);
+    });
+});
