--- a/packages/dispatch/src/WorkerRelay.ts
+++ b/packages/dispatch/src/WorkerRelay.ts
@@ -15,6 +15,9 @@
     readonly timers: Timers;
 }
 
+/** Workers to which connections are kept; several times those of the largest zone. */
+const maximumDrivers = 1_000;
+
 interface RelayedDriver {
     readonly driver: WorkerDriver;
     openCalls: number;
@@ -31,7 +34,11 @@
 
     /** Makes a call and passes its answer to `reply`. */
     async handle({ worker, call }: NumberedWorkerCall, reply: (answer: WorkerCallAnswer) => void): Promise<void> {
-        const relayed = this.getDriver(worker);
+        const relayed = this.findDriver(worker);
+        if (!relayed) {
+            reply(call.kind === "stop" ? false : { kind: "unanswered", reason: "the relay has too many workers" });
+            return;
+        }
         relayed.openCalls += 1;
         const answer = await makeWorkerCall(relayed.driver, call);
         relayed.openCalls -= 1;
@@ -45,10 +52,11 @@
         this.drivers.clear();
     }
 
-    private getDriver(worker: WorkerTarget): RelayedDriver {
+    /** Undefined when there are too many others, which are in use or were a short time ago. */
+    private findDriver(worker: WorkerTarget): RelayedDriver | undefined {
         const key = `${worker.id} ${worker.address}`;
         let relayed = this.drivers.get(key);
-        if (!relayed) {
+        if (!relayed && this.drivers.size < maximumDrivers) {
             relayed = { driver: this.options.connect(worker), openCalls: 0, usedAt: this.options.clock.now() };
             this.drivers.set(key, relayed);
         }
--- a/packages/intake/src/Intake.ts
+++ b/packages/intake/src/Intake.ts
@@ -83,6 +83,10 @@
         };
     }
 
+    get limits(): IntakeLimits {
+        return this.options.limits;
+    }
+
     /** Options for the creation of a server that is guarded. */
     get serverOptions(): ServerOptions {
         const { limits } = this.options;
--- a/packages/intake/src/limits.ts
+++ b/packages/intake/src/limits.ts
@@ -13,6 +13,8 @@
     readonly connections: number;
     /** Open connections of each listener for other instances. */
     readonly peerConnections: number;
+    /** Open connections to workers, which clients can announce. */
+    readonly workerConnections: number;
     /** Requests of one connection without a complete response. */
     readonly openRequests: number;
     /** Bodies in very small chunks that are read at a time. */
@@ -55,6 +57,8 @@
 const peerConnectionShareOfDescriptors = 0.125;
 /** Entries of a zone, owners of other zones or control instances, several times over. */
 const leastPeerConnections = 256;
+/** Each worker takes up to six connections, most of them one. */
+const workerConnectionShareOfDescriptors = 0.25;
 /** Without a bound, idle connections alone could exhaust the memory of all clients. */
 const connectionShareOfMemory = 0.5;
 
@@ -84,6 +88,7 @@
             leastPeerConnections,
             Math.floor(descriptors * peerConnectionShareOfDescriptors),
         ),
+        workerConnections: Math.floor(descriptors * workerConnectionShareOfDescriptors),
         openRequests: 64,
         fragmentedBodies: 2,
         // A client may open a connection, use it after an idle time of 15 s, and take 3 s for its headers.
