Accepted jobs are charged for what they hold, and wide jobs that cannot be done are refused at arrival

What callers saw: an entry ended under mixed crowds and under jobs submitted to its port for other entries; 300 jobs of 10,000 tasks each took 266 MB, and an ordinary job was refused for as long as their callers waited.

Cause: a body of 100 bytes can name 10,000 tasks, each an object at the entry, another at the owner and a part of the message between them; the owner holds the jobs of all entries of its zone. None of it was charged. Wide jobs that all workers together could not do in time were queued before others and took every processor that became free.

Change: accepted jobs are charged to half of the memory for clients, those above 64 KiB to 8 MiB, at their entry and at the owner, until they are answered, cancelled or given up. What does not fit is refused at once, or answered as unknown where it may have run. A job of 256 tasks or more is refused before its tasks are created when its work by its estimates takes longer on all processors of its service than its caller waits, each known zone taken for as large.

Ruled out: judging smaller jobs by their estimates (they are rough, and the present deployments send two to eight tasks); a shorter message for equal tasks, which earlier releases would not read; fewer than 10,000 tasks, which the interface allows.

--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -12,7 +12,9 @@
 import type {
     ConnectWorker,
     Fitness,
+    HoldMemory,
     JobAnswer,
+    JobOutline,
     JobRequest,
     OwnerLink,
     TaskScheduler,
@@ -28,6 +30,7 @@
 import type { Environment } from "../environment";
 import { mustAwaitDrainedZones } from "./drainedZonesWait";
 import { EntryMessages } from "./EntryMessages";
+import { JobArrivalCheck } from "./JobArrivalCheck";
 import { newLocalOwnerLink } from "./localOwnerLink";
 import { WorkerOwnership } from "./WorkerOwnership";
 
@@ -47,6 +50,8 @@
     readonly connectWorker: ConnectWorker;
     /** Bounds the connections that other instances open; unlimited when absent. */
     readonly guard?: ConnectionGuard;
+    /** Memory for jobs; unlimited when absent. */
+    readonly holdMemory?: HoldMemory;
     readonly environment: Environment;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -70,6 +75,7 @@
     private readonly replication: WorkerReplication;
     private readonly ownership: WorkerOwnership;
     private readonly relay: WorkerRelay;
+    private readonly arrivalCheck: JobArrivalCheck;
     private control: ControlLinks | undefined;
     private queues = new QueueTable([]);
     private leaving = false;
@@ -88,6 +94,7 @@
             ...(isProcessorShare(options.processorShare) && { processorShare: options.processorShare }),
         };
         this.workers = new WorkerDirectory(clock);
+        this.arrivalCheck = new JobArrivalCheck({ ...options, getWorkers: () => this.workers.getAll() });
         this.checker = new ChannelChecker(clock, timers, stall => {
             logger.warn("process stalled", { stallMs: Math.round(stall) });
         });
@@ -101,6 +108,7 @@
         this.pendingJobs = new PendingJobs({
             getOwner: () => this.getOwner(),
             getHighestClaim: () => this.election.highestClaim,
+            holdMemory: options.holdMemory,
             clock,
             timers,
             logger,
@@ -237,6 +245,11 @@
         return this.queues.find(host, path);
     }
 
+    /** Why a job that arrives is refused before its tasks are created; undefined for one that is to be accepted. */
+    findRefusal(outline: JobOutline): string | undefined {
+        return this.pendingJobs.has(outline.id) ? undefined : this.arrivalCheck.findRefusal(outline);
+    }
+
     /** Accepts a job for a caller; the returned function must be called when the caller disconnects. */
     accept(request: JobRequest, waiter: (answer: JobAnswer) => void): () => void {
         return this.pendingJobs.accept(request, waiter);
@@ -349,6 +362,7 @@
         );
         this.peers.handleReportedOwner(latest?.member);
         this.replication.handleOwner(latest?.claim ?? 0);
+        this.arrivalCheck.recordOwners(owners);
         this.ownership.handleOwners(owners);
     }
 
--- a/packages/anvilmux/src/roles/WorkerOwnership.ts
+++ b/packages/anvilmux/src/roles/WorkerOwnership.ts
@@ -4,7 +4,14 @@
  */
 
 import { chooseBestFit, RelayedWorkers, TaskScheduler } from "@anvilmux/dispatch";
-import type { Candidate, ConnectWorker, FreeCapacity, OverloadSettings, WorkerAnnouncement } from "@anvilmux/dispatch";
+import type {
+    Candidate,
+    ConnectWorker,
+    FreeCapacity,
+    HoldMemory,
+    OverloadSettings,
+    WorkerAnnouncement,
+} from "@anvilmux/dispatch";
 import { DepartedWorkers, OwnerLinks } from "@anvilmux/fleet";
 import type { DrainedZones, EntryMember, WorkerReplication, ZoneOwner, ZonePeers } from "@anvilmux/fleet";
 import type { ChannelChecker } from "@anvilmux/links";
@@ -25,6 +32,8 @@
     readonly onFenced: (fencingToken: number) => void;
     /** Called when an entry has seen a higher claim than this one's. */
     readonly onOutranked: (claim: number) => void;
+    /** Memory for jobs; unlimited when absent. */
+    readonly holdMemory?: HoldMemory;
     readonly environment: Environment;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -125,7 +134,7 @@
 
     private newScheduler(): TaskScheduler {
         const { replication, environment, logger, metrics } = this.options;
-        const { getFencingToken, getOverloadSettings, onFenced, onOutranked } = this.options;
+        const { getFencingToken, getOverloadSettings, onFenced, onOutranked, holdMemory } = this.options;
         return new TaskScheduler({
             connect: this.relayedWorkers.connect,
             choose: chooseBestFit,
@@ -134,6 +143,7 @@
             getRemoteSchedulers: () => this.ownerLinks?.getRemoteSchedulers() ?? [],
             getFencingToken,
             getOverloadSettings,
+            holdMemory,
             onFenced,
             onOutranked,
             clock: environment.clock,
--- a/packages/dispatch/src/PendingJobs.ts
+++ b/packages/dispatch/src/PendingJobs.ts
@@ -7,6 +7,8 @@
 import type { Clock, JobId, Milliseconds, Timers, Unsubscribe } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import { ownerlessTimeoutMs, refusalRetryMs, schedulerTickMs } from "./constants";
+import { getRequestBytes, holdUnlimited } from "./jobSize";
+import type { HoldMemory } from "./jobSize";
 import type { JobAnswer, JobRequest } from "./types";
 
 /** Calls from this entry to an owner of the zone's workers; they remain valid when it is the owner no longer. */
@@ -23,6 +25,8 @@
     readonly getOwner: () => OwnerLink | undefined;
     /** The highest claim on the zone's workers that this entry has seen. */
     readonly getHighestClaim: () => number;
+    /** Memory for jobs; unlimited when absent. */
+    readonly holdMemory?: HoldMemory | undefined;
     readonly clock: Clock;
     readonly timers: Timers;
     readonly logger: Logger;
@@ -40,6 +44,7 @@
     /** All owners to which it was submitted, by id. */
     readonly owners: Map<string, OwnerLink>;
     mayRunElsewhere: boolean;
+    readonly releaseMemory: () => void;
 }
 
 export class PendingJobs {
@@ -54,6 +59,10 @@
         return this.jobs.size;
     }
 
+    has(id: JobId): boolean {
+        return this.jobs.has(id);
+    }
+
     /** True while a job is submitted to that owner. */
     hasJobsAt(ownerId: string): boolean {
         for (const job of this.jobs.values()) {
@@ -73,20 +82,12 @@
         }
     }
 
-    /** Accepts a job for a caller; call the returned function when the caller disconnects. */
+    /** Accepts a job for a caller, or refuses it at once; call the returned function when the caller disconnects. */
     accept(request: JobRequest, waiter: (answer: JobAnswer) => void): () => void {
-        let job = this.jobs.get(request.id);
-        if (!job) {
-            job = {
-                request,
-                arrivedAt: this.options.clock.now(),
-                waiters: new Set(),
-                ownerId: undefined,
-                submission: 0,
-                owners: new Map(),
-                mayRunElsewhere: false,
-            };
-            this.jobs.set(request.id, job);
+        const job = this.jobs.get(request.id) ?? this.add(request);
+        if (typeof job === "string") {
+            this.refuse(request, job, waiter);
+            return () => undefined;
         }
         this.cancelCheck ??= this.options.timers.every(schedulerTickMs, () => this.tick());
         job.waiters.add(waiter);
@@ -141,6 +142,35 @@
         this.handleOwnerChange();
     }
 
+    /** Adds a job that is not known here; why it is refused instead. */
+    private add(request: JobRequest): PendingJob | string {
+        const { holdMemory = holdUnlimited, clock } = this.options;
+        const { payload, tasks } = request;
+        const bytes = getRequestBytes({ payloadCharacters: payload.length, taskCount: tasks.length });
+        const releaseMemory = holdMemory(bytes);
+        if (!releaseMemory) {
+            return "the memory for jobs is used up";
+        }
+        const job: PendingJob = {
+            request,
+            arrivedAt: clock.now(),
+            waiters: new Set(),
+            ownerId: undefined,
+            submission: 0,
+            owners: new Map(),
+            mayRunElsewhere: false,
+            releaseMemory,
+        };
+        this.jobs.set(request.id, job);
+        return job;
+    }
+
+    private refuse({ id, queue, tasks }: JobRequest, reason: string, waiter: (answer: JobAnswer) => void): void {
+        this.options.metrics.count("anvilmux_jobs_total", { queue, answer: "refused" });
+        this.options.logger.info("job refused at arrival", { job: id, queue, reason, tasks: tasks.length });
+        waiter({ kind: "refused", reason, retryAfterMs: refusalRetryMs });
+    }
+
     /** An owner of an earlier release names no submission. */
     private findSubmitted(ownerId: string, id: JobId, submission: number | undefined): PendingJob | undefined {
         const job = this.jobs.get(id);
@@ -182,6 +212,7 @@
             return;
         }
         this.jobs.delete(id);
+        job.releaseMemory();
         this.options.logger.info("caller disconnected", {
             job: id,
             owners: job.owners.size,
@@ -201,6 +232,7 @@
 
     private answer(job: PendingJob, answer: JobAnswer): void {
         this.jobs.delete(job.request.id);
+        job.releaseMemory();
         const elapsed = this.options.clock.now() - job.arrivedAt;
         this.options.metrics.observe("anvilmux_job_answer_ms", { answer: answer.kind }, elapsed);
         this.options.metrics.count("anvilmux_jobs_total", { queue: job.request.queue, answer: answer.kind });
--- a/packages/dispatch/src/ScheduledJob.ts
+++ b/packages/dispatch/src/ScheduledJob.ts
@@ -61,6 +61,8 @@
     withdrawn: boolean;
     /** True once it was answered or cancelled. */
     closed: boolean;
+    /** Releases the memory that is held for it. */
+    releaseMemory: () => void;
     /** Until then, tasks that a former owner forwarded to another zone may run there. */
     mayRunElsewhereUntil: Milliseconds;
 }
@@ -111,6 +113,7 @@
     remoteTasks: new Map(),
     withdrawn: false,
     closed: false,
+    releaseMemory: () => undefined,
     mayRunElsewhereUntil: getElsewhereEnd(request, receivedAt),
 });
 
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -16,6 +16,8 @@
 import { CrashSuspects } from "./CrashSuspects";
 import { FoundRuns } from "./FoundRuns";
 import { JobAdmission } from "./JobAdmission";
+import { getScheduledBytes, holdUnlimited } from "./jobSize";
+import type { HoldMemory } from "./jobSize";
 import { JobTable } from "./JobTable";
 import { cannotMeetDeadline, mayWorkersHaveUnseenRuns, newAbortAnswer } from "./jobTimeouts";
 import { LiveRuns } from "./LiveRuns";
@@ -55,6 +57,8 @@
         readonly onOutranked: (claim: number) => void;
         /** Until when runs of former owners may go on at workers that are not known here; absent if all are known. */
         readonly getUnknownWorkersUntil?: () => Milliseconds;
+        /** Memory for jobs; unlimited when absent. */
+        readonly holdMemory?: HoldMemory | undefined;
         /** How a demand above the capacity is handled; by deadline when absent. */
         readonly getOverloadSettings?: () => OverloadSettings;
     };
@@ -196,6 +200,13 @@
             this.answer(job, obstacle);
             return;
         }
+        const releaseMemory = (this.options.holdMemory ?? holdUnlimited)(getScheduledBytes(request));
+        if (!releaseMemory) {
+            const mayHaveRun = this.rounds.mayHaveRuns(job);
+            this.answer(job, newAbortAnswer(job, mayHaveRun, "the memory for jobs is used up"));
+            return;
+        }
+        job.releaseMemory = releaseMemory;
         this.jobs.add(job);
         job.tasks.forEach(task => this.foundRuns.adopt(job, task));
         this.jobs.prune(job);
@@ -300,6 +311,7 @@
     stop(): void {
         this.rounds.stop();
         this.unsubscribe();
+        this.jobs.getAll().forEach(job => job.releaseMemory());
         this.workers.close();
     }
 
@@ -357,6 +369,7 @@
 
     private close(job: ScheduledJob, reason: string): void {
         job.closed = true;
+        job.releaseMemory();
         this.jobs.remove(job);
         for (const task of job.tasks) {
             if (task.state === "placed") {
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,6 +4,8 @@
  */
 export * from "./capacityOrder";
 export * from "./constants";
+export * from "./jobSize";
+export * from "./leastRunTime";
 export * from "./overloadPolicy";
 export * from "./PendingJobs";
 export * from "./QueueTable";
--- /dev/null
+++ b/packages/dispatch/src/leastRunTime.ts
@@ -0,0 +1,26 @@
+/**
+ * Whether a job can be done at all before its caller gives up, were it alone: a wide job whose tasks take longer than that
+ * on all processors together is refused at arrival. Queued, it would take every processor that becomes free from jobs
+ * that can be done.
+ */
+
+import type { JobOutline } from "./jobSize";
+
+/** A job of fewer tasks is never judged: its work depends on few estimates, which are rough. */
+const leastJudgedTasks = 256;
+
+/**
+ * True for a wide job that cannot be done in time, however its tasks are placed. `zoneMillicores`: processors of its
+ * service in this zone, 0 where none are known; `zones`: how many zones may take part, each taken for as large.
+ */
+export const cannotBeDoneInTime = (
+    { taskCount, work, remainingMs }: JobOutline,
+    zoneMillicores: number,
+    zones: number,
+): boolean =>
+    taskCount >= leastJudgedTasks
+    && zoneMillicores > 0
+    && work / (zoneMillicores * zones) > remainingMs;
+
+/** True for a job that `cannotBeDoneInTime` may judge, which needs the processors of the zone. */
+export const isWide = ({ taskCount }: JobOutline): boolean => taskCount >= leastJudgedTasks;
--- a/packages/dispatch/tests/PendingJobs.test.ts
+++ b/packages/dispatch/tests/PendingJobs.test.ts
@@ -21,12 +21,16 @@
     readonly pendingJobs = new PendingJobs({
         getOwner: () => this.getOwner(),
         getHighestClaim: () => this.highestClaim,
+        holdMemory: bytes => this.hold(bytes),
         clock: this.time,
         timers: this.time,
         logger: this.newLogger(),
         metrics: new Metrics(),
     });
 
+    heldBytes = 0;
+    freeBytes = Infinity;
+
     accept(id: string): () => void {
         return this.pendingJobs.accept(newRequest(id), answer => this.answers.set(id, answer));
     }
@@ -37,6 +41,14 @@
         this.pendingJobs.handleOwnerChange();
     }
 
+    private hold(bytes: number): (() => void) | undefined {
+        if (bytes > this.freeBytes) {
+            return undefined;
+        }
+        this.heldBytes += bytes;
+        return () => void (this.heldBytes -= bytes);
+    }
+
     private newLogger(): Logger {
         return { ...newSilentLogger(), info: (message, fields) => this.lines.push({ ...fields, message }) };
     }
@@ -241,3 +253,36 @@
         expect(fixture.pendingJobs.openJobs).toBe(0);
     });
 });
+
+describe("memory for jobs", () => {
+    test("is not released when a job is answered, given up by its caller, or ends with the entry", async () => {
+        const fixture = new PendingJobsFixture();
+        fixture.accept("a");
+        const giveUp = fixture.accept("b");
+        fixture.accept("c");
+        const heldForThree = fixture.heldBytes;
+        expect(heldForThree).toBeGreaterThan(0);
+        fixture.accept("a");
+        expect(fixture.heldBytes).toBe(heldForThree);
+        const [submission] = fixture.submissions;
+        fixture.pendingJobs.handleAnswer("owner-1", toJobId("a"), { kind: "completed" }, submission);
+        giveUp();
+        giveUp();
+        expect(fixture.heldBytes).toBe(heldForThree / 3);
+        fixture.pendingJobs.stop();
+        expect(fixture.heldBytes).toBe(0);
+    });
+
+    test("is used up, and a job waits for it instead of being refused before anything of it is submitted", () => {
+        const fixture = new PendingJobsFixture();
+        fixture.freeBytes = 0;
+        fixture.accept("a")();
+        expect(fixture.answers.get("a")).toEqual({
+            kind: "refused",
+            reason: "the memory for jobs is used up",
+            retryAfterMs: 1_000,
+        });
+        expect(fixture.submitted).toEqual([]);
+        expect(fixture.pendingJobs.openJobs).toBe(0);
+    });
+});
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -66,7 +66,9 @@
         fencingToken: number,
         getFencingToken: () => number = () => fencingToken,
         connect: ConnectWorker = this.connect,
-        overrides: Partial<Pick<TaskSchedulerOptions, "logger" | "metrics" | "timers" | "getOverloadSettings">> = {},
+        overrides: Partial<
+            Pick<TaskSchedulerOptions, "logger" | "metrics" | "timers" | "getOverloadSettings" | "holdMemory">
+        > = {},
     ): TaskScheduler {
         const scheduler = new TaskScheduler({
             connect,
--- a/packages/intake/src/Intake.ts
+++ b/packages/intake/src/Intake.ts
@@ -13,6 +13,7 @@
 import type { ConnectionGuard } from "./ConnectionGuard";
 import { Connections } from "./Connections";
 import type { ClientConnection } from "./Connections";
+import { getJobMemoryLimits, JobMemory } from "./JobMemory";
 import { bodyCopies, connectionBytes, requestBytes } from "./limits";
 import type { IntakeLimits } from "./limits";
 import { MemoryBudget } from "./MemoryBudget";
@@ -51,6 +52,7 @@
 export class Intake {
     /** What all clients of the process occupy, also for listeners and holders other than HTTP servers. */
     readonly budget: MemoryBudget;
+    readonly jobMemory: JobMemory;
     private readonly refusals: Refusals;
     private readonly connections = new Connections();
     private readonly bySocket = new WeakMap<Socket, ClientConnection>();
@@ -68,10 +70,12 @@
             totalBytes: limits.memoryBytes,
             addressBytes: Math.floor(limits.memoryBytes * limits.addressShare),
         });
+        this.jobMemory = new JobMemory(this.budget, getJobMemoryLimits(limits.memoryBytes));
         this.budget.addReclaim((refusal, favoured) => this.reclaim(refusal, favoured));
         this.refusals = new Refusals(options);
         metrics.gauge("anvilmux_client_connections", {}, () => this.connections.count);
         metrics.gauge("anvilmux_client_memory_bytes", {}, () => this.budget.heldBytes);
+        metrics.gauge("anvilmux_job_memory_bytes", {}, () => this.jobMemory.heldBytes);
     }
 
     /** For a listener of other instances, which shares the memory for clients. */
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./ConnectionGuard";
 export * from "./Connections";
 export * from "./Intake";
+export * from "./JobMemory";
 export * from "./limits";
 export * from "./MemoryBudget";
 export * from "./readBody";
