The rest of a refused request is not parsed, and headers in progress are charged

What callers saw: beside 300 connections with bodies of 30,000 one-byte chunks an ordinary job had no answer for 7.7 to 10.6 s (the users' readings; this machine takes some 5 s for the whole test). Connections with headers that never end held memory that nobody counted.

Cause: the parser was given up to 64 KB at a time and goes through all of it, some 11,000 chunks, before any reaches the body's reader, whose refusal after 4,096 came too late for the rest; all connections were read in each turn, so that an ordinary one waited for the others. Headers are kept by the parser until they are complete.

Change: a connection is parsed 8 KiB at a time, one piece in each turn of the event loop, and what remains of a refused one is dropped. After 2,048 very small chunks in a turn the connections that send them, and no others, wait for the next turn. What arrives while no request is open is charged twice its size until the headers are complete.

Ruled out: pieces of 8 KiB within one turn. The request gets its chunks only after the turn's input has been parsed, so that 10,913 of them were parsed still (test failed).

Evidence: the new test of a refused body counts 10,900 chunks on the code before, fewer than 6,000 with it.

--- a/packages/intake/src/BodyHost.ts
+++ b/packages/intake/src/BodyHost.ts
@@ -9,6 +9,8 @@
     readonly release: (bytes: number) => void;
     /** False when too many bodies in very small chunks are read already. Each costs far more time than its bytes do. */
     readonly admitFragmented: () => boolean;
+    /** Called for each number of very small chunks; the rest of them is read in a later turn of the event loop. */
+    readonly countFragments: (chunks: number) => void;
     /** Called when a body begins; the result is called when it ends. */
     readonly begin: (body: OpenBody) => () => void;
     /** Called when a body is refused, so that its connection is closed after the response. */
--- a/packages/intake/src/Connections.ts
+++ b/packages/intake/src/Connections.ts
@@ -12,6 +12,10 @@
 export interface ClientConnection extends InputState {
     readonly socket: Socket;
     readonly account: MemoryAccount;
+    /** Charged for headers that are not complete. */
+    headerBytes: number;
+    /** True once nothing more that it sends is parsed. */
+    isRefused: boolean;
     /** Requests without a complete response. */
     openRequests: number;
     /** Bodies that are being read. */
--- a/packages/intake/src/Intake.ts
+++ b/packages/intake/src/Intake.ts
@@ -19,6 +19,7 @@
 import { MemoryBudget } from "./MemoryBudget";
 import type { MemoryAccount, MemoryRefusal } from "./MemoryBudget";
 import { ReadingTurns } from "./ReadingTurns";
+import { readInPieces } from "./readInPieces";
 import { Refusals } from "./Refusals";
 import type { RefusalCause } from "./Refusals";
 import { closeAfterResponse, endResponse } from "./responses";
@@ -46,6 +47,8 @@
 
 /** Memory of a connection beyond that of one body: headers, requests in progress, responses. */
 const connectionMarginBytes = 1_048_576;
+/** Headers in progress are held as bytes and, field by field, as text. */
+const headerCopies = 2;
 const checkPeriodMs: Milliseconds = 1_000;
 const retryAfterSeconds = 1;
 
@@ -126,6 +129,8 @@
         const connection: ClientConnection = {
             socket,
             account,
+            headerBytes: 0,
+            isRefused: false,
             openRequests: 0,
             openBodies: 0,
             unreadChecks: 0,
@@ -140,6 +145,11 @@
             newBodyHost: request => this.newBodyHost(connection, request),
             chargeResponse: (response, bytes) => this.chargeResponse(connection, response, bytes),
         });
+        readInPieces(socket, {
+            isWanted: () => !connection.isRefused && !socket.destroyed,
+            putOff: () => this.turns.end([connection]),
+            onParsed: bytes => this.chargeHeaders(connection, bytes),
+        });
         this.stopChecks ??= this.options.timers.every(checkPeriodMs, () => this.checkUnread());
         if (this.connections.count > this.options.limits.connections) {
             const [slowest] = this.transfers;
@@ -154,6 +164,19 @@
         }
     }
 
+    /** Charges headers in progress: what arrived while no request is open is a part of them. */
+    private chargeHeaders(connection: ClientConnection, bytes: number): void {
+        if (connection.openRequests > 0 || connection.isRefused || connection.socket.destroyed) {
+            return;
+        }
+        const refusal = connection.account.charge(bytes * headerCopies);
+        if (refusal !== undefined) {
+            this.drop(connection, refusal);
+            return;
+        }
+        connection.headerBytes += bytes * headerCopies;
+    }
+
     /** False when the request was refused or its connection closed. */
     private admit(request: IncomingMessage, response: ServerResponse): boolean {
         const connection = this.bySocket.get(request.socket);
@@ -168,6 +191,8 @@
             this.drop(connection, "open-requests");
             return false;
         }
+        connection.account.release(connection.headerBytes);
+        connection.headerBytes = 0;
         const bytes = requestBytes + getHeaderBytes(request);
         const refusal = connection.account.charge(bytes);
         if (refusal !== undefined) {
@@ -235,7 +260,9 @@
                     this.fragmentedBodies -= isFragmented ? 1 : 0;
                 };
             },
+            countFragments: chunks => this.turns.countFragments(connection, chunks),
             refuse: cause => {
+                connection.isRefused = true;
                 this.refusals.report(cause, account.address);
                 closeAfterResponse(request);
                 this.connections.handleRefusal(connection);
@@ -305,6 +332,10 @@
     private handleError(error: NodeJS.ErrnoException, socket: Socket): void {
         const connection = this.bySocket.get(socket);
         const response = getErrorResponse(error);
+        if (connection) {
+            // The parser would report the same error for each further piece.
+            connection.isRefused = true;
+        }
         if (response && connection) {
             this.refusals.report(response.cause, connection.account.address);
         }
--- a/packages/intake/src/ReadingTurns.ts
+++ b/packages/intake/src/ReadingTurns.ts
@@ -6,9 +6,15 @@
 
 import type { ClientConnection } from "./Connections";
 
+/** Very small chunks that are read in one turn; each takes about a microsecond. */
+const maximumFragments = 2_048;
+
 export class ReadingTurns {
     private readonly paused = new Set<ClientConnection>();
     private isReleaseDue = false;
+    /** Very small chunks that were read in this turn, and the connections that they came on. */
+    private fragments = 0;
+    private readonly fragmented = new Set<ClientConnection>();
 
     /** Reads none of `connections` before the next turn. */
     end(connections: readonly ClientConnection[]): void {
@@ -22,6 +28,16 @@
         this.scheduleRelease();
     }
 
+    /** Ends the turn for connections with very small chunks, and for no others, once there were many of them. */
+    countFragments(connection: ClientConnection, chunks: number): void {
+        this.fragments += chunks;
+        this.fragmented.add(connection);
+        this.scheduleRelease();
+        if (this.fragments >= maximumFragments) {
+            this.end([...this.fragmented]);
+        }
+    }
+
     private scheduleRelease(): void {
         if (!this.isReleaseDue) {
             this.isReleaseDue = true;
@@ -31,6 +47,8 @@
 
     private readonly release = (): void => {
         this.isReleaseDue = false;
+        this.fragments = 0;
+        this.fragmented.clear();
         // Connections with waiting requests are read in a turn without the others, which could make them wait for good.
         const awaited = [...this.paused].filter(connection => connection.waitingRequests > 0);
         const due = awaited.length > 0 ? awaited : [...this.paused];
--- a/packages/intake/src/readBody.ts
+++ b/packages/intake/src/readBody.ts
@@ -17,6 +17,8 @@
 /** A body of this announced size gets its buffer at once; the buffer of a larger one grows with what arrives. */
 const trustedBytes = 16_384;
 const firstBytes = 4_096;
+/** Chunks after which their average size is looked at. */
+const countedChunks = 256;
 /** A body is fragmented when it has this many chunks and they have fewer bytes than this on average. */
 const fragmentedChunks = 4_096;
 const fragmentBytes = 16;
@@ -92,8 +94,11 @@
         chunk.copy(this.buffer, this.length);
         this.length = needed;
         this.chunks += 1;
-        if (this.chunks === fragmentedChunks && needed < this.chunks * fragmentBytes && !this.host.admitFragmented()) {
-            this.refuse("fragmented", newBusyError());
+        if (this.chunks % countedChunks === 0 && needed < this.chunks * fragmentBytes) {
+            this.host.countFragments(countedChunks);
+            if (this.chunks === fragmentedChunks && !this.host.admitFragmented()) {
+                this.refuse("fragmented", newBusyError());
+            }
         }
     };
 
--- a/packages/intake/tests/Intake.test.ts
+++ b/packages/intake/tests/Intake.test.ts
@@ -77,7 +77,62 @@
     });
 });
 
+describe("turns of reading very small chunks", () => {
+    // Connections with ordinary requests were read once all chunks of the others had been.
+    test("end for the connections that send them, and for no others", async () => {
+        const [first, second, ordinary] = [newConnection(), newConnection(), newConnection()];
+        const turns = new ReadingTurns();
+        turns.countFragments(first.connection, 1_024);
+        expect(first.socket.isPaused()).toBe(false);
+        turns.countFragments(second.connection, 1_024);
+        expect([first, second, ordinary].map(({ socket }) => socket.isPaused())).toEqual([true, true, false]);
+        await turn();
+        expect([first, second].map(({ socket }) => socket.isPaused())).toEqual([false, false]);
+        turns.countFragments(first.connection, 1_024);
+        expect(first.socket.isPaused()).toBe(false);
+    });
+});
+
 describe("a guarded server", () => {
+    // The parser goes through all that it is given, and was given 64 KB at a time.
+    test("parses the rest of a refused body", async () => {
+        const { server, open, countRefusals } = await startServer({ fragmentedBodies: 0 });
+        let chunks = 0;
+        server.on("request", request => request.on("data", () => chunks += 1));
+        const client = await open();
+        client.socket.write(postChunked + "1\r\nx\r\n".repeat(60_000));
+        await waitUntil(() => client.isClosed());
+        expect(client.received()).toMatch(/^HTTP\/1\.1 503 /);
+        expect(countRefusals("fragmented")).toBe(1);
+        expect(chunks).toBeLessThan(6_000);
+    });
+
+    test("reads a body in very small chunks otherwise than one in large ones", async () => {
+        const { open, bodies } = await startServer();
+        const client = await open();
+        const body = Buffer.alloc(60_000, "xyz");
+        const chunks = Array.from(body, byte => toChunk(Buffer.from([byte])));
+        client.socket.write(Buffer.concat([Buffer.from(postChunked), ...chunks, Buffer.from("0\r\n\r\n")]));
+        client.socket.write(Buffer.concat([Buffer.from(`${post}content-length: ${body.length}\r\n\r\n`), body]));
+        await waitUntil(() => bodies.length === 2);
+        expect(bodies.map(read => read.equals(body))).toEqual([true, true]);
+    });
+
+    test("holds headers that are not complete without a charge, or keeps it after them", async () => {
+        const { open, bodies, getHeldBytes } = await startServer();
+        const client = await open();
+        const headers = `${post}x: ${"y".repeat(10_000)}`;
+        client.socket.write(headers);
+        await waitUntil(() => getHeldBytes() === 8_192 + 2 * headers.length);
+        client.socket.write("\r\ncontent-length: 1\r\n\r\nz");
+        await waitUntil(() => bodies.length === 1);
+        await waitUntil(() => getHeldBytes() === 8_192);
+        client.socket.write(headers);
+        await waitUntil(() => getHeldBytes() > 20_000);
+        client.socket.destroy();
+        await waitUntil(() => getHeldBytes() === 0);
+    });
+
     test("answers requests one after the other on a connection and releases their memory", async () => {
         const { open, bodies, getHeldBytes, countRefusals } = await startServer();
         const client = await open();
--- a/packages/intake/tests/readBody.test.ts
+++ b/packages/intake/tests/readBody.test.ts
@@ -32,6 +32,7 @@
         },
         release: bytes => state.held -= bytes,
         admitFragmented: () => !state.isFragmentedTaken,
+        countFragments: () => undefined,
         begin: () => {
             state.open += 1;
             return () => state.open -= 1;
