--- a/packages/anvilmux/src/http/body.ts
+++ b/packages/anvilmux/src/http/body.ts
@@ -1,6 +1,6 @@
 /** Reads request bodies within the limits on clients, or gives the problem for which a request is refused. */
 
-import { safeParseJson } from "@anvilmux/common";
+import { hasMoreValues, safeParseJson } from "@anvilmux/common";
 import { BodyError, readBody } from "@anvilmux/intake";
 import { newProblem, newRefusalProblem } from "@anvilmux/routing";
 import type { Problem } from "@anvilmux/routing";
@@ -28,5 +28,14 @@
     }
 };
 
-/** Parses a JSON body; undefined when it is malformed. */
-export const parseJsonBody = (body: Buffer): unknown => safeParseJson(body.toString("utf8"));
+/**
+ * Values of a body above which it is not parsed; the largest job has a tenth of it. A list of few bytes for each of its
+ * values takes many times the memory of its text.
+ */
+const maximumValues = 20_000;
+
+/** Parses a JSON body; undefined when it is malformed or has too many values. */
+export const parseJsonBody = (body: Buffer): unknown => {
+    const text = body.toString("utf8");
+    return hasMoreValues(text, maximumValues) ? undefined : safeParseJson(text);
+};
--- a/packages/anvilmux/src/http/jobRoutes.ts
+++ b/packages/anvilmux/src/http/jobRoutes.ts
@@ -87,22 +87,30 @@
 };
 
 const checkSubmission = (kernel: Kernel, body: Buffer): Submission | Problem => {
-    const parsed = submissionSchema.safeParse(parseJsonBody(body));
+    const document = parseJsonBody(body);
+    const limit = kernel.get(configurationToken).configuration!.manifest.jobs.maximumTasks;
+    // Counted before they are checked, as each of a long list can have faults of its own.
+    const taskCount = countTasks(document);
+    if (taskCount > limit) {
+        return newInvalidRequestProblem(`/tasks: ${taskCount} tasks, at most ${limit} are allowed`);
+    }
+    const parsed = submissionSchema.safeParse(document);
     if (!parsed.success) {
         const faults = toFaults(parsed.error).map(fault => `${fault.pointer || "/"}: ${fault.reason}`);
         return newInvalidRequestProblem(faults.join("; "));
     }
     const { tasks } = parsed.data;
-    const limit = kernel.get(configurationToken).configuration!.manifest.jobs.maximumTasks;
-    if (tasks.length > limit) {
-        return newInvalidRequestProblem(`/tasks: ${tasks.length} tasks, at most ${limit} are allowed`);
-    }
     if (new Set(tasks.map(task => task.id)).size < tasks.length) {
         return newInvalidRequestProblem("/tasks: task ids must differ");
     }
     return parsed.data;
 };
 
+const countTasks = (document: unknown): number => {
+    const { tasks } = (document ?? {}) as { readonly tasks?: unknown; };
+    return Array.isArray(tasks) ? tasks.length : 0;
+};
+
 const startJob = async (
     kernel: Kernel,
     request: Request,
--- a/packages/anvilmux/tests/boundary.test.ts
+++ b/packages/anvilmux/tests/boundary.test.ts
@@ -201,6 +201,17 @@
         expect(result.text).toContain("/tasks/1");
     });
 
+    // Each faulty task of 4 MiB was checked and named in the answer.
+    test.each([
+        ["faulty tasks", `{"tasks":[${"0,".repeat(5_000)}0]}`, "/tasks: 5001 tasks, at most"],
+        ["values", `{"tasks":[${"[],".repeat(100_000)}[]]}`, "/: "],
+    ])("a job with thousands of %s is answered with all of them", async (_kind, body, expected) => {
+        const result = await send("POST", "/v1/jobs", callerHeaders, body);
+        expect(result.status).toBe(400);
+        expect(result.text.length).toBeLessThan(1_000);
+        expect(result.text).toContain(expected);
+    });
+
     test("a repeated manifest gets the same answer; stale, conflicting and tampered ones are refused", async () => {
         const submit = async (envelope: string) => {
             const response = await request(`http://${address}/v1/manifests`, {
