A known peer is not disconnected because callers have used the memory up

Cause: found on rereading. The incomplete line and the unread output of a connection between instances count in the memory that callers fill; with none left a known entry, or the owner, would have been disconnected for a line of which the first half had come.

Change: of each connection that has said who it is 64 KiB of both are not charged. The number of such connections is limited, so that they hold a bounded amount.

--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -16,6 +16,7 @@
 import type { ChannelGuard } from "./ChannelGuard";
 import {
     doubtfulSilenceMs,
+    freeCharacters,
     heartbeatPeriodMs,
     heartbeatTimeoutMs,
     identificationTimeoutMs,
@@ -229,19 +230,25 @@
             return;
         }
         if (!this.socket.write(text)) {
-            this.chargeOutput(text.length);
+            this.chargeOutput();
         }
     }
 
     /** Charges what waits until the peer reads; a peer that reads what it is sent is not charged. */
-    private chargeOutput(bytes: number): void {
-        if (this.guard.charge(bytes)) {
-            this.chargedForOutput += bytes;
-        }
-        else {
+    private chargeOutput(): void {
+        const growth = this.getCharged(this.socket.writableLength) - this.chargedForOutput;
+        if (growth > 0 && !this.guard.charge(growth)) {
             this.guard.onRefuse("unread-responses");
             this.close("the peer reads too slowly");
+            return;
         }
+        this.guard.release(Math.max(0, -growth));
+        this.chargedForOutput += growth;
+    }
+
+    /** What is charged of some bytes that the peer makes this process hold. */
+    private getCharged(bytes: number): number {
+        return Math.max(0, bytes - (this.guard.isIdentified() ? freeCharacters : 0));
     }
 
     private releaseOutput(): void {
@@ -277,14 +284,14 @@
             this.close("line too long");
             return;
         }
-        const growth = heldCharacters - this.chargedForLine;
+        const growth = this.getCharged(heldCharacters) - this.chargedForLine;
         if (growth > 0 && !this.guard.charge(growth)) {
             this.guard.onRefuse("memory");
             this.close("line too long for the memory that is left");
             return;
         }
         this.guard.release(Math.max(0, -growth));
-        this.chargedForLine = heldCharacters;
+        this.chargedForLine += growth;
     }
 
     private receiveLine(line: string): void {
--- a/packages/links/src/constants.ts
+++ b/packages/links/src/constants.ts
@@ -32,5 +32,10 @@
 export const identificationTimeoutMs = 5_000;
 /** Time within which a line on an accepted connection must be complete; the longest takes 4 s at 17.5 Mbit/s. */
 export const lineTimeoutMs = 10_000;
+/**
+ * Incomplete line, and unread output, of a known peer that are not charged, so that it is not disconnected because
+ * callers have used up the memory.
+ */
+export const freeCharacters = 65_536;
 /** Memory of an accepted connection before what it receives and does not read. */
 export const channelBytes = 16_384;
