A connection between instances that sends hundreds of probes at a time is closed

Cause: 64 KB of a crowd's input are 32,000 probes, each answered by a line that is kept until the end of the event loop's turn, for all connections that were read in it. How many are read in one turn grows with the load of the machine.

Change: a connection may send 200 probes and answers between two checks, which are 100 ms apart; a peer sends one each 100 ms, and some twenty come together after a stall.

--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -25,6 +25,7 @@
     maximumFirstLineCharacters,
     maximumLineCharacters,
     maximumLineValues,
+    maximumProbeLines,
     maximumUnsentBytes,
 } from "./constants";
 import { encodeMessage } from "./encodeMessage";
@@ -63,6 +64,8 @@
     private urgentSince: Milliseconds | undefined;
     private closed = false;
     private sentProbes = 0;
+    /** Probes and answers to probes that were received since the last check. */
+    private probeLines = 0;
     /** When the probes without an answer were sent, the oldest first. */
     private openProbes: Milliseconds[] = [];
     /** True while what was received last is recent: the peer answered a probe in time, and there was no long silence since. */
@@ -123,6 +126,7 @@
     /** Probes the peer when due; closes the channel when nothing was received within the heartbeat timeout. */
     check(): void {
         const now = this.clock.now();
+        this.probeLines = 0;
         const isUrgent = this.listener.isUrgent?.() ?? true;
         this.urgentSince = isUrgent ? this.urgentSince ?? now : undefined;
         const timeout = isUrgent ? heartbeatTimeoutMs : idleHeartbeatTimeoutMs;
@@ -295,14 +299,20 @@
     }
 
     private receiveLine(line: string): void {
-        if (line === heartbeatLine) {
-            this.handleProbeAnswer();
+        if (line !== heartbeatLine && line !== probeLine) {
+            this.deliver(line);
+            return;
         }
-        else if (line === probeLine) {
-            this.write(`${heartbeatLine}\n`);
+        this.probeLines += 1;
+        if (this.probeLines > maximumProbeLines) {
+            this.guard.onRefuse("malformed");
+            this.close("too many probes");
+        }
+        else if (line === heartbeatLine) {
+            this.handleProbeAnswer();
         }
         else {
-            this.deliver(line);
+            this.write(`${heartbeatLine}\n`);
         }
     }
 
--- a/packages/links/src/constants.ts
+++ b/packages/links/src/constants.ts
@@ -37,5 +37,10 @@
  * callers have used up the memory.
  */
 export const freeCharacters = 65_536;
+/**
+ * Probes and answers to them that a connection may carry between two checks. A peer sends one each 100 ms, and some
+ * twenty come together after a stall.
+ */
+export const maximumProbeLines = 200;
 /** Memory of an accepted connection before what it receives and does not read. */
 export const channelBytes = 16_384;
--- a/packages/links/tests/ChannelGuard.test.ts
+++ b/packages/links/tests/ChannelGuard.test.ts
@@ -8,6 +8,7 @@
     identificationTimeoutMs,
     lineTimeoutMs,
     maximumFirstLineCharacters,
+    maximumProbeLines,
 } from "@anvilmux/links";
 import { EventEmitter } from "node:events";
 import type { Socket } from "node:net";
@@ -123,6 +124,19 @@
         expect([refusals, stranger.refusals]).toEqual([[], ["memory"]]);
     });
 
+    // An answer to each was kept until the end of the turn, and those of all connections together.
+    test.each(["?", ""])("sends thousands of %j instead of a few", async line => {
+        const { closed, receive, refusals, time } = newFixture(1_000_000);
+        receive(message);
+        receive(`${line}\n`.repeat(maximumProbeLines));
+        await time.advance(200);
+        receive(`${line}\n`.repeat(maximumProbeLines));
+        expect(closed).toEqual([]);
+        receive(`${line}\n`);
+        expect(closed).toEqual(["too many probes"]);
+        expect(refusals).toEqual(["malformed"]);
+    });
+
     test("takes its time for a line, with a few bytes now and then", async () => {
         const { time, closed, receive } = newFixture(1_000);
         receive(message);
