--- a/packages/anvilmux/src/roles/JobArrivalCheck.ts
+++ b/packages/anvilmux/src/roles/JobArrivalCheck.ts
@@ -44,6 +44,7 @@
         if (cannotBeDoneInTime(outline, millicores, this.zones.size)) {
             return "its tasks cannot be done before its deadline";
         }
+        // Only asked for here; it is held once the job is accepted.
         const release = holdMemory(getRequestBytes(outline));
         release?.();
         return release ? undefined : "the memory for jobs is used up";
