A wide job that comes again is judged by the time that it had at first

Cause: found on rereading. A caller that sends a job again, through another entry, has less time left; a wide job that was accepted and ran could be refused then as one that cannot be done in time, and a refusal says that it never runs.

--- a/packages/anvilmux/tests/jobArrivalCheck.test.ts
+++ b/packages/anvilmux/tests/jobArrivalCheck.test.ts
@@ -19,13 +19,13 @@
     ...change,
 });
 
-const newOutline = (taskCount: number, millicores: number, estimateMs: number, remainingMs: number): JobOutline => ({
+const newOutline = (taskCount: number, millicores: number, estimateMs: number, availableMs: number): JobOutline => ({
     id: toJobId("0000000000000001"),
     service: "desk",
     payloadCharacters: 0,
     taskCount,
     work: taskCount * millicores * estimateMs,
-    remainingMs,
+    availableMs,
 });
 
 const newCheck = (workers: readonly WorkerAnnouncement[], freeBytes = Infinity) =>
--- a/packages/dispatch/src/jobSize.ts
+++ b/packages/dispatch/src/jobSize.ts
@@ -11,7 +11,8 @@
     readonly taskCount: number;
     /** Processor time of all tasks by their estimates, in milliseconds of a thousandth of a processor. */
     readonly work: number;
-    readonly remainingMs: Milliseconds;
+    /** Time from its first arrival after which no caller waits for it. */
+    readonly availableMs: Milliseconds;
 }
 
 /** Holds memory for a job until the returned function is called; undefined when there is not enough. */
--- a/packages/dispatch/src/leastRunTime.ts
+++ b/packages/dispatch/src/leastRunTime.ts
@@ -14,13 +14,13 @@
  * service in this zone, 0 where none are known; `zones`: how many zones may take part, each taken for as large.
  */
 export const cannotBeDoneInTime = (
-    { taskCount, work, remainingMs }: JobOutline,
+    { taskCount, work, availableMs }: JobOutline,
     zoneMillicores: number,
     zones: number,
 ): boolean =>
     taskCount >= leastJudgedTasks
     && zoneMillicores > 0
-    && work / (zoneMillicores * zones) > remainingMs;
+    && work / (zoneMillicores * zones) > availableMs;
 
 /** True for a job that `cannotBeDoneInTime` may judge, which needs the processors of the zone. */
 export const isWide = ({ taskCount }: JobOutline): boolean => taskCount >= leastJudgedTasks;
