--- a/packages/links/src/Channel.ts
+++ b/packages/links/src/Channel.ts
@@ -11,12 +11,12 @@
 
 import { atTurnEnd, getErrorMessage, hasMoreValues, safeParseJson } from "@anvilmux/common";
 import type { Clock, Milliseconds } from "@anvilmux/common";
+import type { RefusalCause } from "@anvilmux/intake";
 import type { Socket } from "node:net";
 import { noGuard } from "./ChannelGuard";
 import type { ChannelGuard } from "./ChannelGuard";
 import {
     doubtfulSilenceMs,
-    freeCharacters,
     heartbeatPeriodMs,
     heartbeatTimeoutMs,
     identificationTimeoutMs,
@@ -30,6 +30,7 @@
 } from "./constants";
 import { encodeMessage } from "./encodeMessage";
 import type { EncodedMessage } from "./encodeMessage";
+import { HeldMemory } from "./HeldMemory";
 import { LineReader } from "./LineReader";
 import type { LinkMessage } from "./types";
 
@@ -51,9 +52,9 @@
 
 export class Channel<Incoming extends LinkMessage, Outgoing extends LinkMessage> {
     private readonly reader = new LineReader();
-    /** Bytes charged for the incomplete line, and for what the peer has not read. */
-    private chargedForLine = 0;
-    private chargedForOutput = 0;
+    private readonly heldLine: HeldMemory;
+    /** What the peer has not read. */
+    private readonly heldOutput: HeldMemory;
     /** Since when the connection is open, and since when it has an incomplete line. */
     private openSince: Milliseconds;
     private lineSince: Milliseconds | undefined;
@@ -80,6 +81,8 @@
         private readonly listener: ChannelListener<Incoming>,
         private readonly guard: ChannelGuard = noGuard,
     ) {
+        this.heldLine = new HeldMemory(guard);
+        this.heldOutput = new HeldMemory(guard);
         this.receivedAt = clock.now();
         this.probedAt = this.receivedAt;
         this.openSince = this.receivedAt;
@@ -87,7 +90,7 @@
         socket.on("data", bytes => this.receive(bytes));
         socket.on("error", error => this.close(getErrorMessage(error)));
         socket.on("close", () => this.close(closedByPeer));
-        socket.on("drain", () => this.releaseOutput());
+        socket.on("drain", () => this.heldOutput.set(0));
     }
 
     get isOpen(): boolean {
@@ -131,13 +134,11 @@
         this.urgentSince = isUrgent ? this.urgentSince ?? now : undefined;
         const timeout = isUrgent ? heartbeatTimeoutMs : idleHeartbeatTimeoutMs;
         if (!this.guard.isIdentified() && now - this.openSince > identificationTimeoutMs) {
-            this.guard.onRefuse("unknown-peer");
-            this.close(`did not say who it is within ${identificationTimeoutMs} ms`);
+            this.refuse("unknown-peer", `did not say who it is within ${identificationTimeoutMs} ms`);
             return;
         }
         if (now - (this.lineSince ?? now) > this.guard.lineTimeoutMs) {
-            this.guard.onRefuse("timeout");
-            this.close(`line not complete within ${this.guard.lineTimeoutMs} ms`);
+            this.refuse("timeout", `line not complete within ${this.guard.lineTimeoutMs} ms`);
             return;
         }
         if (now - Math.max(this.receivedAt, this.urgentSince ?? 0) > timeout) {
@@ -233,31 +234,16 @@
             this.close("the peer reads too slowly");
             return;
         }
-        if (!this.socket.write(text)) {
-            this.chargeOutput();
+        // A peer that reads what it is sent is not charged.
+        if (!this.socket.write(text) && !this.heldOutput.set(this.socket.writableLength)) {
+            this.refuse("unread-responses", "the peer reads too slowly");
         }
     }
 
-    /** Charges what waits until the peer reads; a peer that reads what it is sent is not charged. */
-    private chargeOutput(): void {
-        const growth = this.getCharged(this.socket.writableLength) - this.chargedForOutput;
-        if (growth > 0 && !this.guard.charge(growth)) {
-            this.guard.onRefuse("unread-responses");
-            this.close("the peer reads too slowly");
-            return;
-        }
-        this.guard.release(Math.max(0, -growth));
-        this.chargedForOutput += growth;
-    }
-
-    /** What is charged of some bytes that the peer makes this process hold. */
-    private getCharged(bytes: number): number {
-        return Math.max(0, bytes - (this.guard.isIdentified() ? freeCharacters : 0));
-    }
-
-    private releaseOutput(): void {
-        this.guard.release(this.chargedForOutput);
-        this.chargedForOutput = 0;
+    /** Closes the channel because the peer occupies too much, or does not say who it is. */
+    private refuse(cause: RefusalCause, reason: string): void {
+        this.guard.onRefuse(cause);
+        this.close(reason);
     }
 
     private receive(bytes: Buffer): void {
@@ -284,18 +270,11 @@
         const { heldCharacters } = this.reader;
         const limit = this.guard.isIdentified() ? maximumLineCharacters : maximumFirstLineCharacters;
         if (heldCharacters > limit) {
-            this.guard.onRefuse("too-large");
-            this.close("line too long");
-            return;
+            this.refuse("too-large", "line too long");
         }
-        const growth = this.getCharged(heldCharacters) - this.chargedForLine;
-        if (growth > 0 && !this.guard.charge(growth)) {
-            this.guard.onRefuse("memory");
-            this.close("line too long for the memory that is left");
-            return;
+        else if (!this.heldLine.set(heldCharacters)) {
+            this.refuse("memory", "line too long for the memory that is left");
         }
-        this.guard.release(Math.max(0, -growth));
-        this.chargedForLine += growth;
     }
 
     private receiveLine(line: string): void {
@@ -305,8 +284,7 @@
         }
         this.probeLines += 1;
         if (this.probeLines > maximumProbeLines) {
-            this.guard.onRefuse("malformed");
-            this.close("too many probes");
+            this.refuse("malformed", "too many probes");
         }
         else if (line === heartbeatLine) {
             this.handleProbeAnswer();
@@ -318,8 +296,7 @@
 
     private deliver(line: string): void {
         if (hasMoreValues(line, maximumLineValues)) {
-            this.guard.onRefuse("too-large");
-            this.close("line with too many values");
+            this.refuse("too-large", "line with too many values");
             return;
         }
         const message = parseMessage<Incoming>(line);
