Places of workers and wide jobs: what stood twice

WorkerPlaces kept a total that is the size of the directory, and cannotBeDoneInTime repeated the comparison of isWide.

--- a/packages/dispatch/src/leastRunTime.ts
+++ b/packages/dispatch/src/leastRunTime.ts
@@ -9,18 +9,18 @@
 /** A job of fewer tasks is never judged: its work depends on few estimates, which are rough. */
 const leastJudgedTasks = 256;
 
+/** True for a job that `cannotBeDoneInTime` may judge, which needs the processors of the zone. */
+export const isWide = ({ taskCount }: JobOutline): boolean => taskCount >= leastJudgedTasks;
+
 /**
  * True for a wide job that cannot be done in time, however its tasks are placed. `zoneMillicores`: processors of its
  * service in this zone, 0 where none are known; `zones`: how many zones may take part, each taken for as large.
  */
 export const cannotBeDoneInTime = (
-    { taskCount, work, availableMs }: JobOutline,
+    outline: JobOutline,
     zoneMillicores: number,
     zones: number,
 ): boolean =>
-    taskCount >= leastJudgedTasks
+    isWide(outline)
     && zoneMillicores > 0
-    && work / (zoneMillicores * zones) > availableMs;
-
-/** True for a job that `cannotBeDoneInTime` may judge, which needs the processors of the zone. */
-export const isWide = ({ taskCount }: JobOutline): boolean => taskCount >= leastJudgedTasks;
+    && outline.work / (zoneMillicores * zones) > outline.availableMs;
--- a/packages/fleet/src/WorkerDirectory.ts
+++ b/packages/fleet/src/WorkerDirectory.ts
@@ -27,6 +27,7 @@
 export class WorkerDirectory {
     /** Those heard of longest ago first. Workers that left are kept, so that a late announcement does not add them. */
     private readonly workers = new Map<WorkerId, KnownWorker>();
+    private readonly limits: WorkerLimits;
     private readonly places: WorkerPlaces;
     /** When each worker that was cold is no longer, as last reported as a change. */
     private readonly coldUntil = new Map<WorkerId, Milliseconds>();
@@ -35,7 +36,8 @@
         private readonly clock: Pick<Clock, "now"> = newSystemClock(),
         private readonly options: WorkerDirectoryOptions = {},
     ) {
-        this.places = new WorkerPlaces(options.limits ?? defaultWorkerLimits);
+        this.limits = options.limits ?? defaultWorkerLimits;
+        this.places = new WorkerPlaces(this.limits);
     }
 
     /** The latest announcement of each worker, with the time for which it is still cold. */
@@ -120,7 +122,7 @@
     /** False when no known worker gives its place to a new one of the zone. */
     private makeRoom(zone: string): boolean {
         const isZoneFull = this.places.isZoneFull(zone);
-        if (!isZoneFull && !this.places.isFull) {
+        if (!isZoneFull && this.workers.size < this.limits.total) {
             return true;
         }
         const now = this.options.hearsAll ? this.clock.now() : -Infinity;
--- a/packages/fleet/src/WorkerPlaces.ts
+++ b/packages/fleet/src/WorkerPlaces.ts
@@ -28,18 +28,15 @@
 
 export class WorkerPlaces {
     private readonly perZone = new Map<string, number>();
-    private total = 0;
 
     constructor(private readonly limits: WorkerLimits) {}
 
     add({ zone }: WorkerAnnouncement): void {
-        this.total += 1;
         this.perZone.set(zone, (this.perZone.get(zone) ?? 0) + 1);
     }
 
     remove({ zone }: WorkerAnnouncement): void {
         const left = (this.perZone.get(zone) ?? 0) - 1;
-        this.total -= 1;
         if (left > 0) {
             this.perZone.set(zone, left);
         }
@@ -51,10 +48,6 @@
     isZoneFull(zone: string): boolean {
         return (this.perZone.get(zone) ?? 0) >= this.limits.perZone;
     }
-
-    get isFull(): boolean {
-        return this.total >= this.limits.total;
-    }
 }
 
 /**
