The stop of a run without a job names its worker and what the owner knows of the run

The line 'stop ordered for a run without a job' named neither the worker nor the end of its lease, so that the log could not tell a lease that the new owner had extended from one of its predecessor that went on, or from a stop that was ordered late.

--- a/packages/dispatch/src/FoundRuns.ts
+++ b/packages/dispatch/src/FoundRuns.ts
@@ -58,7 +58,12 @@
         }
         this.context.timers.after(orphanGraceMs, () => {
             if (!this.jobs.findTask(run.task) && session.getRun(run.task) === run) {
-                this.context.logger.info("stop ordered for a run without a job", { task: run.task, run: run.run });
+                this.context.logger.info("stop ordered for a run without a job", {
+                    task: run.task,
+                    run: run.run,
+                    worker: session.id,
+                    ...session.describeRun(run),
+                });
                 session.stop(run.task);
             }
         });
