An owner does not extend a worker's lease for runs that nobody waits for

Cause: the lease of a worker covers all that runs there. A new owner, and any owner of a run whose stop had no answer, extended it with each watch, also for runs that nobody waited for; a run without a job was stopped only 400 ms after its listing. Ruled out: stops that are carried out late (40 ms in the case), a lease of the former life (none lasted 1.3 s), workers listed late (17 ms after the claim).

Change: LeaseExtension decides for each watch. A lease is extended only while an entry that is present waits for every run on the worker, or the worker has accepted the stop. No lease is extended before a list was read under the present fencing token. A worker that leaves a stop unanswered gets no starts, as their deadline extends the lease as well. A job whose entry is disconnected starts no tasks and extends no lease until it comes again. So the runs of a former life end within a lease of its last watch, whenever the next owner begins.

Why not otherwise: a shorter grace only moves the window of restart times, and stops the runs of jobs that come a moment later.

The harness of workerChoice.test.ts names the new callback; nothing that it checks has changed.

--- a/packages/dispatch/src/JobTable.ts
+++ b/packages/dispatch/src/JobTable.ts
@@ -28,11 +28,8 @@
         return [...this.jobs.values()];
     }
 
-    /** The jobs of a submitter that other zones forwarded, or its others. */
-    getAllOf(submitterKey: string, spilled: boolean): readonly ScheduledJob[] {
-        return this.getAll().filter(({ submitter, request }) =>
-            submitter.key === submitterKey && request.spilled === spilled
-        );
+    getAllOf(submitterKey: string): readonly ScheduledJob[] {
+        return this.getAll().filter(({ submitter }) => submitter.key === submitterKey);
     }
 
     hasJobsOf(submitterKey: string): boolean {
--- a/packages/dispatch/src/OwnedWorkers.ts
+++ b/packages/dispatch/src/OwnedWorkers.ts
@@ -6,7 +6,15 @@
 import type { Run, RunEnd } from "./RunTable";
 import type { ObservedCapacity } from "./schedulerLog";
 import { fits } from "./types";
-import type { ConnectWorker, FreeCapacity, JobRequest, Resources, WorkerAnnouncement, WorkerId } from "./types";
+import type {
+    ConnectWorker,
+    FreeCapacity,
+    JobRequest,
+    Resources,
+    TaskName,
+    WorkerAnnouncement,
+    WorkerId,
+} from "./types";
 import type { ChooseWorker, GetPenalty } from "./workerChoice";
 import { WorkerIndex } from "./WorkerIndex";
 import { WorkerRecord } from "./WorkerRecord";
@@ -22,6 +30,8 @@
     readonly isShared?: (id: WorkerId) => boolean;
     /** False for a worker that gets no tasks because its zone is drained, or was a moment ago; else absent. */
     readonly isInUse?: (id: WorkerId) => boolean;
+    /** True while the entry that submitted the task's job waits for it here. */
+    readonly isAwaited: (task: TaskName) => boolean;
     readonly getFencingToken: () => number;
     /** Called when a worker refused `fencingToken` because it had accepted a higher one. */
     readonly onFenced: (fencingToken: number) => void;
--- a/packages/dispatch/src/RunStopper.ts
+++ b/packages/dispatch/src/RunStopper.ts
@@ -28,9 +28,20 @@
 
 export class RunStopper {
     private givenUp: readonly GivenUpStart[] = [];
+    private readonly unanswered = new Set<Run>();
 
     constructor(private readonly options: RunStopperOptions) {}
 
+    /** True while a run goes on whose stop was ordered and not accepted. A start would extend the lease for it. */
+    get hasUnansweredStops(): boolean {
+        return this.unanswered.size > 0;
+    }
+
+    /** A run has ended. */
+    handleEnd(run: Run): void {
+        this.unanswered.delete(run);
+    }
+
     /** Orders a stop unless one is under way. */
     stop(run: Run): void {
         if (run.stopOrderedAt === undefined) {
@@ -74,14 +85,23 @@
     private async order(run: Run): Promise<void> {
         run.stopOrderedAt = this.options.clock.now();
         if (await this.callStop(run) === undefined) {
+            this.recordUnanswered(run);
             return;
         }
+        this.unanswered.delete(run);
         run.stopAcceptedAt ??= this.options.clock.now();
         if (run.state === "uncertain") {
             this.options.onUncertainStopped();
         }
     }
 
+    private recordUnanswered(run: Run): void {
+        const isPresent = this.options.runs.get(run.task) === run;
+        if (isPresent && run.stopAcceptedAt === undefined) {
+            this.unanswered.add(run);
+        }
+    }
+
     private async orderWithdrawal(start: GivenUpStart): Promise<void> {
         start.orderedAt = this.options.clock.now();
         start.acceptedIn = await this.callStop(start.run) ?? start.acceptedIn;
--- a/packages/dispatch/src/ScheduledJob.ts
+++ b/packages/dispatch/src/ScheduledJob.ts
@@ -51,7 +51,7 @@
     /** Tasks placed or forwarded so far, repeats included; a job with none can be refused. */
     started: number;
     submitter: JobSubmitter;
-    /** False while the submitter may have given the job up; none of its tasks is started. */
+    /** False while the submitter is disconnected, or may have given the job up; none of its tasks is started. */
     isSubmitterPresent: boolean;
     /** Whether the submitter acknowledged that tasks may run in other zones; none is forwarded before that. */
     remoteAcknowledgement: "no" | "asked" | "yes";
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -5,14 +5,7 @@
  */
 
 import type { JobId, Milliseconds, Unsubscribe } from "@anvilmux/common";
-import {
-    endedJobRetentionMs,
-    maximumEndedJobs,
-    orphanGraceMs,
-    schedulerTickMs,
-    spilledGraceMs,
-    takeoverUncertaintyMs,
-} from "./constants";
+import { endedJobRetentionMs, maximumEndedJobs, schedulerTickMs, takeoverUncertaintyMs } from "./constants";
 import { CrashSuspects } from "./CrashSuspects";
 import { FoundRuns } from "./FoundRuns";
 import { JobAdmission } from "./JobAdmission";
@@ -41,7 +34,7 @@
     logUnassignedRun,
 } from "./schedulerLog";
 import { hasSameTasks } from "./spill";
-import { awaitSubmitter, replaceSubmitter } from "./submitters";
+import { abandonJobs, awaitSubmitter, replaceSubmitter } from "./submitters";
 import { TaskPlacer } from "./TaskPlacer";
 import { TaskSpiller } from "./TaskSpiller";
 import type { TaskSpillerOptions } from "./TaskSpiller";
@@ -50,7 +43,7 @@
 import { ZoneDrain } from "./ZoneDrain";
 
 export type TaskSchedulerOptions =
-    & Omit<OwnedWorkersOptions, "onEnd" | "onCrash" | "onFound" | "onStandstill" | "onChange" | "isInUse">
+    & Omit<OwnedWorkersOptions, "onEnd" | "onCrash" | "onFound" | "onStandstill" | "onChange" | "isInUse" | "isAwaited">
     & TaskSpillerOptions
     & {
         /** Called when an entry has seen a higher claim than this owner's; raises the claim above it. */
@@ -112,6 +105,7 @@
             onStandstill: (session, run, percent) => this.handleStalledRun(session, run, percent),
             onChange: () => this.rounds.schedule(),
             isInUse: id => this.drain.isInUse(id),
+            isAwaited: task => this.jobs.findTask(task)?.job.isSubmitterPresent ?? false,
         });
         this.overload = new OverloadControl({
             ...options,
@@ -245,11 +239,11 @@
 
     /** Closes the jobs of a disconnected submitter after a delay, unless another submitter resubmitted them by then. */
     handleSubmitterDisconnected(submitterKey: string): void {
-        const closeJobs = (spilled: boolean) =>
-            this.jobs.getAllOf(submitterKey, spilled)
-                .forEach(job => this.close(job, "the submitting entry is disconnected"));
-        this.options.timers.after(spilledGraceMs, () => closeJobs(true));
-        this.options.timers.after(orphanGraceMs, () => closeJobs(false));
+        abandonJobs(
+            this.options.timers,
+            this.jobs.getAllOf(submitterKey),
+            job => this.close(job, "the submitting entry is disconnected"),
+        );
     }
 
     /** The submitter acknowledged that tasks of its job may be forwarded to other zones. */
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -6,10 +6,8 @@
 import type { Milliseconds } from "@anvilmux/common";
 import type { LogFields } from "@anvilmux/telemetry";
 import {
-    busyWatchWaitMs,
     completionBatchMs,
     firstRetryPauseMs,
-    idleWatchWaitMs,
     longestRetryPauseMs,
     orderTimeoutMs,
     pollAfterValidityMs,
@@ -18,6 +16,7 @@
     workerLeaseMs,
 } from "./constants";
 import { InterruptiblePause } from "./InterruptiblePause";
+import { LeaseExtension } from "./LeaseExtension";
 import { ListReader } from "./ListReader";
 import { RunStopper } from "./RunStopper";
 import { isInferred, newRun, RunTable } from "./RunTable";
@@ -40,6 +39,7 @@
     private freeResources: Resources;
     private readonly lists: ListReader;
     private readonly stopper: RunStopper;
+    private readonly leaseExtension: LeaseExtension;
     private readonly workerTime: WorkerTime;
     private reachable = false;
     private hasCurrentList = false;
@@ -73,6 +73,8 @@
             getIncarnation: () => this.lists.incarnation,
             onUncertainStopped: () => void this.pollUncertainRuns(),
         });
+        const { id: worker, runs, workerTime: time } = this;
+        this.leaseExtension = new LeaseExtension({ ...options, worker, runs, time });
         void this.runWatchLoop();
     }
 
@@ -96,7 +98,7 @@
     /** True for a worker that could run tasks, whether or not its owner gives it any at present. */
     get isAble(): boolean {
         return this.reachable && this.hasCurrentList && !this.closed && this.announced.state === "ready"
-            && !this.paused.isActive && !this.runs.hasUnknownRuns();
+            && !this.paused.isActive && !this.runs.hasUnknownRuns() && !this.stopper.hasUnansweredStops;
     }
 
     get largestRoom(): Resources {
@@ -286,19 +288,13 @@
     private async watchOnce(): Promise<Milliseconds> {
         const { clock, driver, getFencingToken, metrics } = this.options;
         const sentAt = clock.now();
-        const canExtendLease = this.reachable && this.workerTime.isKnown;
-        const longestWaitMs = this.runs.size > 0 ? busyWatchWaitMs : idleWatchWaitMs;
-        const waitMs = canExtendLease ? longestWaitMs : 0;
         const fencingToken = getFencingToken();
-        if (canExtendLease) {
-            this.workerTime.recordGrant(sentAt, workerLeaseMs);
-        }
+        const { leaseUntil, waitMs } = this.leaseExtension.planWatch(this.reachable && this.hasCurrentList);
         metrics.count("anvilmux_worker_looks_total");
         const answer = await driver.watch({
             fencingToken,
             lastAcknowledged: this.lists.lastAcknowledged,
-            // The lease of a worker that does not answer is not extended, so that it expires at a known time.
-            leaseUntil: canExtendLease ? this.workerTime.now() + workerLeaseMs : undefined,
+            leaseUntil,
             waitMs,
             timeoutMs: waitMs + watchGraceMs,
         });
@@ -391,6 +387,7 @@
 
     private end(run: Run, end: RunEnd): void {
         this.runs.remove(run);
+        this.stopper.handleEnd(run);
         const mayStart = run.state !== "running" && isInferred(end) && run.stopAcceptedAt === undefined;
         if (mayStart && !this.closed) {
             this.stopper.withdraw(run);
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -12,6 +12,8 @@
 /** Longest wait of a watch for a run to complete, on a worker without runs and on one with runs. */
 export const idleWatchWaitMs = 450;
 export const busyWatchWaitMs = 250;
+/** The same on a worker whose lease is not extended, so that it is extended soon once all of its runs are waited for. */
+export const withheldLeaseWaitMs = 50;
 /** Time after its wait within which a watch must be answered. */
 export const watchGraceMs = 100;
 /** Timeout of a start or stop order. */
--- a/packages/dispatch/src/submitters.ts
+++ b/packages/dispatch/src/submitters.ts
@@ -1,5 +1,7 @@
 /** The entry that waits for a job, and the entry that takes its place when the job is submitted again. */
 
+import type { Timers } from "@anvilmux/common";
+import { orphanGraceMs, spilledGraceMs } from "./constants";
 import type { ScheduledJob } from "./ScheduledJob";
 import { logDoubtedSubmitter } from "./schedulerLog";
 import type { SchedulerLogContext } from "./schedulerLog";
@@ -29,3 +31,23 @@
         job.remoteAcknowledgement = submitter.announceRemoteTasks() ? "yes" : "asked";
     }
 };
+
+/**
+ * Handles the end of a submitter's connection. Its jobs start no more tasks, and those that no other submitter has taken over by
+ * the end of a grace period are closed.
+ */
+export const abandonJobs = (
+    timers: Timers,
+    jobs: readonly ScheduledJob[],
+    close: (job: ScheduledJob) => void,
+): void => {
+    for (const job of jobs) {
+        const { submitter } = job;
+        job.isSubmitterPresent = false;
+        timers.after(job.request.spilled ? spilledGraceMs : orphanGraceMs, () => {
+            if (!job.closed && job.submitter === submitter) {
+                close(job);
+            }
+        });
+    }
+};
--- a/packages/dispatch/src/workerSessionOptions.ts
+++ b/packages/dispatch/src/workerSessionOptions.ts
@@ -3,13 +3,15 @@
 import type { Clock, Timers } from "@anvilmux/common";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { Run, RunEnd } from "./RunTable";
-import type { WorkerAnnouncement, WorkerDriver, WorkerId } from "./types";
+import type { TaskName, WorkerAnnouncement, WorkerDriver, WorkerId } from "./types";
 
 export interface WorkerSessionOptions {
     readonly announcement: WorkerAnnouncement;
     readonly driver: WorkerDriver;
     /** False while the owner gives the worker no tasks, for reasons other than the worker's state. */
     readonly mayGetTasks?: (id: WorkerId) => boolean;
+    /** True while the entry that submitted the task's job waits for it here; the lease is not extended for other runs. */
+    readonly isAwaited: (task: TaskName) => boolean;
     readonly getFencingToken: () => number;
     readonly clock: Clock;
     readonly timers: Timers;
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -117,6 +117,10 @@
         return this.startedTasks.filter(started => started === task).length;
     }
 
+    isRunning(task: string): boolean {
+        return (this.runningCounts.get(toTaskName(task)) ?? 0) > 0;
+    }
+
     submit(scheduler: TaskScheduler, request: JobRequest, submitterKey = "home"): void {
         scheduler.submit(request, this.newSubmitter(request.id, submitterKey));
     }
--- a/packages/dispatch/tests/workerChoice.test.ts
+++ b/packages/dispatch/tests/workerChoice.test.ts
@@ -95,6 +95,7 @@
     private readonly owned = new OwnedWorkers({
         connect: announcement => this.workers.get(announcement.id)!.connect(),
         choose: input => this.strategy(input),
+        isAwaited: () => true,
         getFencingToken: () => 1,
         onFenced: () => undefined,
         clock: this.time,
