A new owner stops runs without a job as soon as all entries have submitted theirs

Cause: FoundRuns kept a run without a job for a fixed 400 ms, as nothing told the owner whether its job was still to come. Ruled out: a shorter time alone, as it stops runs whose jobs a living entry is about to submit (tests "does not stop a run whose job comes %d ms later", "waits for a connected entry that has not submitted all of its jobs").

Change: an entry that has submitted all of its jobs to an owner says so (jobs-submitted, with the owner's claim), after a change of owner and after it connects. JobHandover keeps account of it. Once all known entries have, a run without a job is stopped at the next check (20 ms). An entry that fell silent is not waited for; for one whose connection was closed the run is kept 100 ms on a worker that also runs tasks of others, else 400 ms, which is also the limit where an entry says nothing (earlier releases). The entry's way to the owner and the options of DispatchEntry are files of their own.

--- a/packages/anvilmux/src/index.ts
+++ b/packages/anvilmux/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./Instance";
 export * from "./roles/ControlInstance";
 export * from "./roles/DispatchEntry";
+export type { DispatchEntryOptions } from "./roles/dispatchEntryOptions";
 export { defineBaseServices, readTrustedKeys } from "./services/base";
 export { defineControlServices } from "./services/control";
 export { defineEntryServices } from "./services/entry";
--- a/packages/anvilmux/src/roles/DispatchEntry.ts
+++ b/packages/anvilmux/src/roles/DispatchEntry.ts
@@ -5,58 +5,30 @@
  * entries and the workers.
  */
 
-import type { Address, InstanceId, Milliseconds, Unsubscribe, ZoneId } from "@anvilmux/common";
+import type { Address, Milliseconds, Unsubscribe } from "@anvilmux/common";
 import { hashText } from "@anvilmux/common";
 import { ConfigurationHolder } from "@anvilmux/control";
 import { isProcessorShare, PendingJobs, QueueTable, WorkerRelay, ZoneElection } from "@anvilmux/dispatch";
-import type {
-    ConnectWorker,
-    Fitness,
-    HoldMemory,
-    JobAnswer,
-    JobOutline,
-    JobRequest,
-    OwnerLink,
-    TaskScheduler,
-    WorkerAnnouncement,
-} from "@anvilmux/dispatch";
-import { ControlLinks, DrainedZones, WorkerDirectory, WorkerReplication, ZonePeers } from "@anvilmux/fleet";
+import type { Fitness, JobAnswer, JobOutline, JobRequest, TaskScheduler, WorkerAnnouncement } from "@anvilmux/dispatch";
+import {
+    ControlLinks,
+    DrainedZones,
+    JobHandover,
+    WorkerDirectory,
+    WorkerReplication,
+    ZonePeers,
+} from "@anvilmux/fleet";
 import type { EntryMember, ZoneOwner } from "@anvilmux/fleet";
-import type { ConnectionGuard } from "@anvilmux/intake";
 import { ChannelChecker, heartbeatTimeoutMs } from "@anvilmux/links";
-import type { ManifestAuthority, Queue } from "@anvilmux/manifest";
+import type { Queue } from "@anvilmux/manifest";
 import { getProcessorTime, LoopDelayMonitor } from "@anvilmux/telemetry";
-import type { Logger, Metrics } from "@anvilmux/telemetry";
-import type { Environment } from "../environment";
+import type { DispatchEntryOptions } from "./dispatchEntryOptions";
 import { mustAwaitDrainedZones } from "./drainedZonesWait";
 import { EntryMessages } from "./EntryMessages";
 import { JobArrivalCheck } from "./JobArrivalCheck";
-import { newLocalOwnerLink } from "./localOwnerLink";
+import { OwnerAccess } from "./OwnerAccess";
 import { WorkerOwnership } from "./WorkerOwnership";
 
-export interface DispatchEntryOptions {
-    readonly instanceId: InstanceId;
-    readonly zone: ZoneId;
-    /** IP address under which other instances reach this one. */
-    readonly host: string;
-    /** IP address to listen on; `host` when absent. */
-    readonly listenHost?: string;
-    readonly linkPort: number;
-    /** Processors that this process may use; absent where they are unknown. */
-    readonly processorShare?: number | undefined;
-    /** Link addresses of some control instances; they announce the others. */
-    readonly controlSeeds: readonly Address[];
-    readonly authority: ManifestAuthority;
-    readonly connectWorker: ConnectWorker;
-    /** Bounds the connections that other instances open; unlimited when absent. */
-    readonly guard?: ConnectionGuard;
-    /** Memory for jobs; unlimited when absent. */
-    readonly holdMemory?: HoldMemory;
-    readonly environment: Environment;
-    readonly logger: Logger;
-    readonly metrics: Metrics;
-}
-
 /** Interval at which the election of the owner of the zone's workers is updated. */
 const electionPeriodMs = 100;
 /** Longest time a leaving owner postpones the transfer of its workers while tasks are spilled between zones. */
@@ -70,9 +42,11 @@
     private readonly drainedZones = new DrainedZones();
     private readonly pendingJobs: PendingJobs;
     private readonly election: ZoneElection;
+    private readonly ownerAccess: OwnerAccess;
     private readonly peers: ZonePeers;
     private readonly messages: EntryMessages;
     private readonly replication: WorkerReplication;
+    private readonly handover: JobHandover;
     private readonly ownership: WorkerOwnership;
     private readonly relay: WorkerRelay;
     private readonly arrivalCheck: JobArrivalCheck;
@@ -106,7 +80,7 @@
             fetch: () => Promise.reject(new Error("an entry receives its configuration from control instances only")),
         });
         this.pendingJobs = new PendingJobs({
-            getOwner: () => this.getOwner(),
+            getOwner: () => this.ownerAccess.getLink(),
             getHighestClaim: () => this.election.highestClaim,
             holdMemory: options.holdMemory,
             clock,
@@ -129,11 +103,18 @@
             onClaim: (claim, formerClaim) => this.handleClaimChange(claim, formerClaim),
             onOwner: () => {
                 this.peers.review();
-                this.pendingJobs.handleOwnerChange();
+                this.ownerAccess.submitAll();
             },
         });
         this.relay = new WorkerRelay({ connect: options.connectWorker, clock, timers });
         this.peers = this.newPeers();
+        this.ownerAccess = new OwnerAccess({
+            selfId: this.self.id,
+            peers: this.peers,
+            election: this.election,
+            pendingJobs: this.pendingJobs,
+            getScheduler: () => this.scheduler,
+        });
         this.replication = new WorkerReplication({
             peers: this.peers,
             getClaim: () => this.election.claim,
@@ -144,12 +125,18 @@
             timers,
             logger,
         });
+        this.handover = new JobHandover({
+            getKnownPeers: () => this.peers.getKnownIds(),
+            isConnected: peerId => this.peers.getCandidates().some(({ id }) => id === peerId),
+            areMembersReported: () => this.control?.areMembersReported ?? false,
+        });
         this.ownership = new WorkerOwnership({
             ...options,
             self: this.self,
             checker: this.checker,
             peers: this.peers,
             replication: this.replication,
+            handover: this.handover,
             getFencingToken: () => this.election.claim,
             getOverloadSettings: () => this.queues.overloadSettings,
             onFenced: fencingToken => this.election.handleFenced(fencingToken),
@@ -161,6 +148,7 @@
             relay: this.relay,
             relayedWorkers: this.ownership.relayedWorkers,
             replication: this.replication,
+            handover: this.handover,
         });
     }
 
@@ -319,8 +307,12 @@
             getFreeCapacity: () => this.ownership.getFreeCapacity(),
             getWorkers: () => this.workers.getAll(),
             onWorkers: announcements => this.handleWorkers(announcements),
-            onPeerConnected: peerId => this.replication.handlePeerConnected(peerId),
+            onPeerConnected: peerId => {
+                this.replication.handlePeerConnected(peerId);
+                this.ownerAccess.handlePeerConnected(peerId);
+            },
             onPeerDisconnected: (peerId, isNoticedByPeer) => {
+                this.handover.handleDisconnected(peerId, isNoticedByPeer);
                 this.replication.handlePeerDisconnected(peerId, isNoticedByPeer);
                 this.ownership.relayedWorkers.handleDisconnected(peerId);
                 this.pendingJobs.handleOwnerDisconnected(peerId);
@@ -329,19 +321,6 @@
         });
     }
 
-    private getOwner(): OwnerLink | undefined {
-        const { ownerId } = this.election;
-        if (ownerId === undefined) {
-            return undefined;
-        }
-        return ownerId === this.self.id ? newLocalOwnerLink(ownerId, this.pendingJobs, () => this.scheduler) : {
-            id: ownerId,
-            submit: (request, submission) => this.peers.send(ownerId, { type: "submit", request, submission }),
-            cancel: id => this.peers.send(ownerId, { type: "cancel", id }),
-            withdraw: id => this.peers.send(ownerId, { type: "withdraw", id }),
-        };
-    }
-
     private handleClaimChange(claim: number, formerClaim: number): void {
         if (claim > 0) {
             this.ownership.assume(this.workers.getAll(), formerClaim);
--- a/packages/anvilmux/src/roles/EntryMessages.ts
+++ b/packages/anvilmux/src/roles/EntryMessages.ts
@@ -4,7 +4,7 @@
  */
 
 import type { JobAnswer, PendingJobs, RelayedWorkers, TaskScheduler, WorkerRelay } from "@anvilmux/dispatch";
-import type { PeerConnection, PeerMessage, WorkerReplication } from "@anvilmux/fleet";
+import type { JobHandover, PeerConnection, PeerMessage, WorkerReplication } from "@anvilmux/fleet";
 
 export interface EntryMessagesOptions {
     /** Undefined while another entry owns the workers. */
@@ -13,6 +13,7 @@
     readonly relay: WorkerRelay;
     readonly relayedWorkers: RelayedWorkers;
     readonly replication: WorkerReplication;
+    readonly handover: JobHandover;
 }
 
 type Submit = Extract<PeerMessage, { type: "submit"; }>;
@@ -81,7 +82,7 @@
 
     /** Handles what the owner reports, and what other entries tell it of the workers. */
     private handleOwnerMessage(message: PeerMessage, connection: PeerConnection, peerId: string | undefined): void {
-        const { pendingJobs, replication } = this.options;
+        const { pendingJobs, replication, handover } = this.options;
         if (peerId === undefined) {
             return;
         }
@@ -92,6 +93,9 @@
             case "owner-workers-known":
                 replication.handleAcknowledgement(peerId, message);
                 return;
+            case "jobs-submitted":
+                handover.handleSubmitted(peerId, message.claim);
+                return;
             case "answer":
                 pendingJobs.handleAnswer(peerId, message.id, message.answer, message.submission);
                 return;
--- a/packages/anvilmux/src/roles/WorkerOwnership.ts
+++ b/packages/anvilmux/src/roles/WorkerOwnership.ts
@@ -13,7 +13,7 @@
     WorkerAnnouncement,
 } from "@anvilmux/dispatch";
 import { DepartedWorkers, OwnerLinks } from "@anvilmux/fleet";
-import type { DrainedZones, EntryMember, WorkerReplication, ZoneOwner, ZonePeers } from "@anvilmux/fleet";
+import type { DrainedZones, EntryMember, JobHandover, WorkerReplication, ZoneOwner, ZonePeers } from "@anvilmux/fleet";
 import type { ChannelChecker } from "@anvilmux/links";
 import type { Logger, Metrics } from "@anvilmux/telemetry";
 import type { Environment } from "../environment";
@@ -25,6 +25,7 @@
     readonly checker: ChannelChecker;
     readonly peers: ZonePeers;
     readonly replication: WorkerReplication;
+    readonly handover: JobHandover;
     readonly connectWorker: ConnectWorker;
     readonly getFencingToken: () => number;
     readonly getOverloadSettings: () => OverloadSettings;
@@ -77,13 +78,13 @@
 
     /** Begins to own the workers, or continues with a higher fencing token. `formerClaim`: highest claim seen before. */
     assume(workers: readonly WorkerAnnouncement[], formerClaim: number): void {
-        const { replication } = this.options;
+        const { replication, handover, getFencingToken, logger } = this.options;
         replication.begin(formerClaim, workers);
+        handover.begin(getFencingToken());
         if (this.currentScheduler) {
             this.currentScheduler.handleTokenRaised();
             return;
         }
-        const { logger, getFencingToken } = this.options;
         logger.info("scheduler begins", { fencingToken: getFencingToken(), workers: workers.length });
         this.currentScheduler = this.newScheduler();
         this.ownerLinks = this.newOwnerLinks();
@@ -102,6 +103,7 @@
 
     release(): void {
         this.options.replication.end();
+        this.options.handover.end();
         this.currentScheduler?.stop();
         this.currentScheduler = undefined;
         this.ownerLinks?.stop();
@@ -133,13 +135,14 @@
     }
 
     private newScheduler(): TaskScheduler {
-        const { replication, environment, logger, metrics } = this.options;
+        const { replication, handover, environment, logger, metrics } = this.options;
         const { getFencingToken, getOverloadSettings, onFenced, onOutranked, holdMemory } = this.options;
         return new TaskScheduler({
             connect: this.relayedWorkers.connect,
             choose: chooseBestFit,
             isShared: id => replication.isShared(id),
             getUnknownWorkersUntil: () => replication.getUnknownUntil(),
+            getHandover: () => handover.state,
             getRemoteSchedulers: () => this.ownerLinks?.getRemoteSchedulers() ?? [],
             getFencingToken,
             getOverloadSettings,
--- a/packages/anvilmux/tests/dispatchEntry.test.ts
+++ b/packages/anvilmux/tests/dispatchEntry.test.ts
@@ -4,7 +4,7 @@
 import type { Environment } from "@anvilmux/anvilmux";
 import { toAddress, toInstanceId, toZoneId } from "@anvilmux/common";
 import type { Address, InstanceId } from "@anvilmux/common";
-import { toWorkerId } from "@anvilmux/dispatch";
+import { orphanGraceMs, toTaskName, toWorkerId } from "@anvilmux/dispatch";
 import type { JobAnswer, JobRequest, WorkerAnnouncement } from "@anvilmux/dispatch";
 import { findFreePort, waitUntil } from "@anvilmux/stand-ins";
 import { Metrics, newSilentLogger } from "@anvilmux/telemetry";
@@ -98,6 +98,34 @@
     expect(answers).toEqual([]);
 }, 30_000);
 
+/** An environment in which time passes at a fifth of real time. */
+const newSlowMotion = (): Environment => {
+    const { timers } = environment;
+    return {
+        ...environment,
+        clock: { now: () => performance.now() / 5, wallNow: () => Date.now() },
+        timers: {
+            after: (delay, listener) => timers.after(delay * 5, listener),
+            every: (period, listener) => timers.every(period * 5, listener),
+        },
+    };
+};
+
+test("a run is not kept for a job that no entry has, once all entries have submitted theirs to the owner", async () => {
+    const { hub, port } = await startControl();
+    hub.handleWorkerAnnouncement(newWorker("z1", 1_000));
+    const workers = new FakeWorkers();
+    const slowMotion = newSlowMotion();
+    const first = await startEntry(toInstanceId("a"), "z1", port, workers, slowMotion);
+    const second = await startEntry(toInstanceId("b"), "z1", port, workers, slowMotion);
+    await waitUntil(() => first.ownerId === "a" && second.ownerId === "a");
+    const order = { task: toTaskName("former.0"), run: 1, payload: "", fencingToken: 1, deadline: 0 };
+    workers.running.set(order.task, order);
+    const listedFrom = slowMotion.clock.now();
+    await waitUntil(() => workers.running.size === 0);
+    expect(slowMotion.clock.now() - listedFrom).toBeLessThan(orphanGraceMs);
+}, 30_000);
+
 test("the next owner does not immediately restart the former owner's job that has tasks in another zone", async () => {
     const { first, second, localWorkers, remoteWorkers } = await startTwoZones();
     const abandonFirst = first.accept(newJob("job1", 900), () => undefined);
--- a/packages/dispatch/src/TaskScheduler.ts
+++ b/packages/dispatch/src/TaskScheduler.ts
@@ -38,7 +38,7 @@
 import { TaskPlacer } from "./TaskPlacer";
 import { TaskSpiller } from "./TaskSpiller";
 import type { TaskSpillerOptions } from "./TaskSpiller";
-import type { FreeCapacity, JobAnswer, JobRequest, JobSubmitter, WorkerAnnouncement } from "./types";
+import type { FreeCapacity, HandoverState, JobAnswer, JobRequest, JobSubmitter, WorkerAnnouncement } from "./types";
 import type { WorkerSession } from "./WorkerSession";
 import { ZoneDrain } from "./ZoneDrain";
 
@@ -50,6 +50,8 @@
         readonly onOutranked: (claim: number) => void;
         /** Until when runs of former owners may go on at workers that are not known here; absent if all are known. */
         readonly getUnknownWorkersUntil?: () => Milliseconds;
+        /** How far the entries of the zone have submitted their jobs to this owner; unknown when absent. */
+        readonly getHandover?: () => HandoverState;
         /** Memory for jobs; unlimited when absent. */
         readonly holdMemory?: HoldMemory | undefined;
         /** How a demand above the capacity is handled; by deadline when absent. */
@@ -376,6 +378,7 @@
 
     /** Aborts jobs that cannot meet their deadline, and tries to place the waiting ones. */
     private tick(): void {
+        this.foundRuns.review();
         const view = this.rounds.getView();
         this.jobs.getAll().filter(job => cannotMeetDeadline(job, view)).forEach(job => this.abortJob(job));
         if (this.jobs.waitingCount > 0 || this.drain.isDrained) {
--- a/packages/dispatch/src/WorkerSession.ts
+++ b/packages/dispatch/src/WorkerSession.ts
@@ -207,10 +207,6 @@
                 run.state = "running";
                 return;
             case "refused":
-                if (answer.clock !== undefined) {
-                    // A start refused as late shows that the clock estimate is off; this corrects it.
-                    this.workerTime.recordClock(answer.clock, run.incarnation);
-                }
                 this.handleStartRefusal(run, fencingToken, answer);
                 return;
             case "gone":
@@ -265,7 +261,11 @@
     }
 
     private handleStartRefusal(run: Run, fencingToken: number, answer: RefusedStart): void {
-        const { reason, relay } = answer;
+        const { reason, relay, clock } = answer;
+        if (clock !== undefined) {
+            // A start refused as late shows that the clock estimate is off; this corrects it.
+            this.workerTime.recordClock(clock, run.incarnation);
+        }
         this.options.metrics.count("anvilmux_start_refusals_total", { reason });
         logRefusedStart(this.options.logger, this.id, run, answer, this.free.millicores);
         this.pause(getRefusalPause(reason));
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -59,6 +59,11 @@
 
 /** Time that a run without a job, or a job without a submitter, is kept for a resubmission through another entry. */
 export const orphanGraceMs = 400;
+/**
+ * Time that a run without a job is kept for an entry that is not connected, on a worker that also runs tasks of others. Its
+ * lease is not extended meanwhile, so that these would lapse.
+ */
+export const sharedWorkerGraceMs = 100;
 /** Time that runs on an unreachable worker may continue after a change of owner: the old one's timeout and lease. */
 export const takeoverUncertaintyMs = 1_900;
 /** After a pause of the owner's process of this length another owner may have started the jobs that it has. */
--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -79,6 +79,12 @@
 /** Free processor capacity of each worker that currently accepts tasks, in millicores, by service. */
 export type FreeCapacity = Readonly<Record<string, readonly number[]>>;
 
+/**
+ * How far the entries of a zone have submitted their jobs to a new owner: all known ones have, or only those that are
+ * connected, or not all of these.
+ */
+export type HandoverState = "complete" | "connected" | "in-progress";
+
 /** The scheduler of another zone. */
 export interface RemoteScheduler {
     readonly zone: string;
--- a/packages/dispatch/tests/schedulerFixture.ts
+++ b/packages/dispatch/tests/schedulerFixture.ts
@@ -67,7 +67,10 @@
         getFencingToken: () => number = () => fencingToken,
         connect: ConnectWorker = this.connect,
         overrides: Partial<
-            Pick<TaskSchedulerOptions, "logger" | "metrics" | "timers" | "getOverloadSettings" | "holdMemory">
+            Pick<
+                TaskSchedulerOptions,
+                "logger" | "metrics" | "timers" | "getOverloadSettings" | "holdMemory" | "getHandover"
+            >
         > = {},
     ): TaskScheduler {
         const scheduler = new TaskScheduler({
--- a/packages/fleet/src/ZonePeers.ts
+++ b/packages/fleet/src/ZonePeers.ts
@@ -63,6 +63,11 @@
         return [...this.peers.values()].flatMap(peer => peer.connection?.state ?? []);
     }
 
+    /** Ids of the known entries, connected or not. */
+    getKnownIds(): readonly string[] {
+        return [...this.peers.keys()];
+    }
+
     /** This entry's processor share; undefined also while a known entry announces none, as ids then decide. */
     getComparableShare(): number | undefined {
         const areComparable = [...this.peers.values()].every(({ member }) => member.processorShare !== undefined);
--- a/packages/fleet/src/checkMessages.ts
+++ b/packages/fleet/src/checkMessages.ts
@@ -162,6 +162,7 @@
     "away-known": object({ id: name }),
     "cancel": object({ id: name }),
     "withdraw": object({ id: name }),
+    "jobs-submitted": object({ claim: whole }),
     "worker-call": object({ number: whole, worker: object({ id: name, address }), call }),
     "answer": object({ id: name, submission, answer: jobAnswer }),
     "away": object({ id: name, submission }),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./ControlLinks";
 export * from "./DepartedWorkers";
 export * from "./DrainedZones";
+export * from "./JobHandover";
 export * from "./messages";
 export * from "./OwnerLinks";
 export * from "./WorkerCoverage";
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -107,6 +107,11 @@
     | { readonly type: "cancel"; readonly id: JobId; }
     /** The job goes to another owner; its runs go on, and no more of its tasks are started. */
     | { readonly type: "withdraw"; readonly id: JobId; }
+    /**
+     * All jobs of the sender are submitted to the receiver, whose claim on the workers this is; earlier releases neither send
+     * nor read it.
+     */
+    | { readonly type: "jobs-submitted"; readonly claim: number; }
     /** A call to a worker that the receiver makes for the sender, the owner of the zone's workers. */
     | { readonly type: "worker-call"; } & NumberedWorkerCall;
 
