JobHandover forgets silent entries that are no longer known

Read again: ids of entries that fell silent were kept for the life of the process, whatever entries come and go. No decision changes.

--- a/packages/dispatch/src/JobTable.ts
+++ b/packages/dispatch/src/JobTable.ts
@@ -28,6 +28,7 @@
         return [...this.jobs.values()];
     }
 
+    /** The jobs of a submitter. */
     getAllOf(submitterKey: string): readonly ScheduledJob[] {
         return this.getAll().filter(({ submitter }) => submitter.key === submitterKey);
     }
--- a/packages/fleet/src/JobHandover.ts
+++ b/packages/fleet/src/JobHandover.ts
@@ -47,10 +47,9 @@
      */
     handleDisconnected(peerId: string, isNoticedByPeer: boolean): void {
         this.submitted.delete(peerId);
-        if (isNoticedByPeer) {
-            this.silent.delete(peerId);
-        }
-        else {
+        this.silent.delete(peerId);
+        if (!isNoticedByPeer) {
+            this.forgetUnknown();
             this.silent.add(peerId);
         }
     }
@@ -65,4 +64,9 @@
         }
         return missing.length > 0 ? "connected" : "complete";
     }
+
+    private forgetUnknown(): void {
+        const known = new Set(this.options.getKnownPeers());
+        [...this.silent].filter(peerId => !known.has(peerId)).forEach(peerId => this.silent.delete(peerId));
+    }
 }
