--- a/packages/dispatch/tests/workerFaults.test.ts
+++ b/packages/dispatch/tests/workerFaults.test.ts
@@ -18,7 +18,7 @@
     {
         profile: "late orders counted from arrival",
         failure: "a start that was given up is carried out",
-        seeds: [2, 7, 8, 42],
+        seeds: [2, 7, 8, 42, 7023],
     },
     { profile: "restarted behind a cut", failure: "a start reaches the next incarnation", seeds: [1, 14, 73, 74] },
     { profile: "silent cuts", failure: "a run is given up before its lease ends", seeds: [1, 2] },
